--- /dev/null
+++ b/sumacloom/counter/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: sessions, wires, waitlists, rotation, leaving in order."""
--- /dev/null
+++ b/sumacloom/counter/errand.py
@@ -0,0 +1,69 @@
+"""An errand: one statement on its way to a backend and back."""
+from .rules import FALLBACK, PLANS
+
+
+class Errand:
+    """A statement that needs a backend, with its plan and how far it has come.
+
+    Stages: waiting (in a waitlist), setup (own texts are out, nothing of the client's), run
+    (the statement itself may have reached the backend), paused (not run, to go out again on the
+    same wire), done.
+    """
+
+    __slots__ = (
+        "session", "statement", "rule", "plan_name", "received", "cutoff", "hold_until", "stage", "wire",
+        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed",
+    )
+
+    def __init__(self, session, statement, rule, plan_name: str, now: float, transaction):
+        self.session, self.statement, self.rule = session, statement, rule
+        self.plan_name = plan_name
+        self.received = now
+        self.cutoff = now + rule.statement_s
+        self.hold_until = self.cutoff
+        self.stage = "waiting"
+        self.wire = None
+        self.pause_until = 0.0
+        self.sends = 0
+        self.pending = 0
+        self.transaction = transaction
+        self.refusal = ""
+        self.ran_at = 0.0
+        self.needed = None
+
+    @property
+    def plan(self) -> tuple:
+        """The steps that the interpreter walks.
+
+        >>> PLANS["write"]
+        ('lead', 'run')
+        """
+        return PLANS[self.plan_name]
+
+    @property
+    def only_reads(self) -> bool:
+        """Whether sending it twice changes nothing.
+
+        >>> Errand.only_reads.fget.__name__
+        'only_reads'
+        """
+        return self.statement.sort == "read"
+
+    def order(self) -> tuple:
+        """Its place in a waitlist: priority, then cutoff.
+
+        >>> Errand.order.__name__
+        'order'
+        """
+        return (self.rule.priority, self.cutoff)
+
+    def fall_back(self) -> bool:
+        """Turns from the rotation to the lead, if the plan knows how.
+
+        >>> FALLBACK["rotation_read"]
+        'lead_read'
+        """
+        if self.plan_name not in FALLBACK:
+            return False
+        self.plan_name = FALLBACK[self.plan_name]
+        return True
--- /dev/null
+++ b/sumacloom/counter/floor.py
@@ -0,0 +1,371 @@
+"""The counter's core: sessions in front, wires behind, waitlists between. No sockets here.
+
+Inputs are the methods; what is to be sent, shut or dialled gathers in `effects`:
+("send", key, bytes), ("shut", key), ("dial", key, host, port).
+"""
+from bisect import insort
+
+from ..charts import load_chart
+from ..common.blueprint import Blueprint
+from ..common.lines import encode
+from ..common.logs import Scribe
+from ..common.settings import Settings
+from ..common.types import ORIGIN
+from . import outcomes
+from .errand import Errand
+from .rules import compile_rules
+from .session import Session, decode, wire_text
+from .verbs import SORTS
+from .yard import Yard
+
+scribe = Scribe("floor")
+LEAVING = load_chart("leaving")
+ANCHOR_SLACK_S = 0.02
+
+class Floor:
+    """All sessions and wires of one counter."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.yard = Yard(settings)
+        self.sessions, self.wires = {}, {}
+        self.waitlists = {}
+        self.active = set()
+        self.rules, self.blueprint = None, None
+        self.leaving = LEAVING.start
+        self.leaving_at = 0.0
+        self.effects = []
+        self.mishaps = []
+        self.warmed_at = -1e9
+
+    # ------------------------------------------------------------ news
+    def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
+        """Takes a newer blueprint; an older one changes nothing.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z"))
+        >>> floor.take_blueprint(Blueprint(3), 0.0); floor.take_blueprint(Blueprint(2), 0.0); floor.blueprint.ver
+        3
+        """
+        if self.blueprint and blueprint.ver <= self.blueprint.ver:
+            return
+        self.blueprint = blueprint
+        self.rules = compile_rules(blueprint)
+        self.yard.services = {service.name: service for service in blueprint.svcs}
+        scribe.say("the blueprint %d is in force", blueprint.ver)
+
+    def take_records(self, records: list, now: float) -> None:
+        """Takes backends' records from the news.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).take_records([], 0.0)
+        """
+        for record in records:
+            for wire in self.yard.take_record(record, now):
+                outcomes.wire_lost(self, wire, "the backend is gone", now, report=False)
+        self.pump_all(now)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this counter calls itself ready.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).ready
+        False
+        """
+        return self.leaving == LEAVING.start and self.rules is not None and bool(self.yard.backends)
+
+    # ------------------------------------------------------------ sessions
+    def session_opened(self, key, now: float) -> None:
+        """A client connected.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).session_opened(1, 0.0)
+        """
+        self.sessions[key] = Session(key, now)
+
+    def session_data(self, key, data: bytes, now: float) -> None:
+        """Bytes of a client.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.session_opened(1, 0.0)
+        >>> floor.session_data(1, b"HELO\\r\\n", 0.0); floor.effects[0][2]
+        b'ERR MALFORMED a session starts with LOGIN\\r\\n'
+        """
+        session = self.sessions.get(key)
+        if session is None:
+            return
+        session.waiting.extend(session.splitter.feed(data))
+        if session.splitter.overflow:
+            session.waiting.append(None)
+        self.advance(session, now)
+
+    def advance(self, session: Session, now: float) -> None:
+        """Handles the lines that wait, one statement at a time.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.advance(Session(1, 0.0), 0.0)
+        """
+        while session.waiting and session.errand is None and not session.closed:
+            line = session.waiting.popleft()
+            if line is None:
+                self.send(session, "ERR TOOLONG a message is longer than 1 MiB")
+                self.shut_session(session, now)
+            elif session.database is None:
+                self.take_login(session, line, now)
+            else:
+                self.take_line(session, line, now)
+
+    def take_login(self, session: Session, line: str, now: float) -> None:
+        """The first line of a session.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.take_login(Session(1, 0.0), "LOGIN", 0.0)
+        >>> floor.effects[0][2][:13]
+        b'ERR MALFORMED'
+        """
+        words = line.split(" ", 2)
+        if words[0] != "LOGIN" or len(words) < 3 or not words[1] or not words[2]:
+            self.send(session, "ERR MALFORMED a session starts with LOGIN")
+        elif self.rules is None:
+            self.send(session, "ERR BUSY this counter has no blueprint yet")
+        elif words[1] not in self.rules:
+            self.send(session, "ERR NODB there is no such database")
+        else:
+            session.database = words[1]
+            self.send(session, "READY I -")
+            return
+        self.shut_session(session, now)
+
+    def take_line(self, session: Session, line: str, now: float) -> None:
+        """A line after the login.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); session = Session(1, 0.0)
+        >>> floor.take_line(session, "NONSENSE", 0.0); floor.effects[0][2]
+        b'ERR MALFORMED this line is not understood\\r\\nREADY I -\\r\\n'
+        """
+        head, _blank, rest = line.partition(" ")
+        if head == "QUIT":
+            self.shut_session(session, now)
+            return
+        statement = decode(rest, session.names) if head == "QUERY" else None
+        if statement is None:
+            self.reply(session, ["ERR MALFORMED this line is not understood"], now)
+            return
+        transaction = session.transaction
+        if transaction and transaction.failed and statement.sort not in ("commit", "abort"):
+            code = outcomes.tell_failure(transaction)
+            self.reply(session, [f"ERR {code} the transaction has ended"], now)
+            return
+        SORTS[statement.sort](self, session, statement, now)
+
+    def shut_session(self, session: Session, now: float) -> None:
+        """Ends a session from our side.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.shut_session(Session(1, 0.0), 0.0); floor.effects
+        [('shut', 1)]
+        """
+        self.effects.append(("shut", session.key))
+        self.session_closed(session.key, now, session)
+
+    def session_closed(self, key, now: float, session: Session | None = None) -> None:
+        """The client's connection is gone: its wire is rolled back and freed.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).session_closed(9, 0.0)
+        """
+        session = self.sessions.pop(key, session)
+        if session is None or session.closed:
+            return
+        session.closed = True
+        session.waiting.clear()
+        errand, transaction = session.errand, session.transaction
+        if errand and errand.stage in ("waiting", "paused"):
+            self.end_errand(errand)
+        if transaction and transaction.wire and not (errand and errand.stage in ("setup", "run")):
+            outcomes.release(self, transaction.wire, now)
+        session.transaction = None
+
+    def send(self, session: Session, *lines: str) -> None:
+        """Lines to a client.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.send(Session(1, 0.0), "READY I -"); floor.effects
+        [('send', 1, b'READY I -\\r\\n')]
+        """
+        if not session.closed:
+            self.effects.append(("send", session.key, encode(*lines)))
+
+    def reply(self, session: Session, lines: list[str], now: float, position=None) -> None:
+        """A whole reply with its READY; the next waiting line then follows.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.reply(Session(1, 0.0), ["DONE -"], 0.0)
+        >>> floor.effects[0][2]
+        b'DONE -\\r\\nREADY I -\\r\\n'
+        """
+        self.send(session, *lines, f"READY {session.state} {position or '-'}")
+        if session.transaction:
+            session.transaction.rested_at = now
+        if self.leaving in ("emptying", "ending") and session.state == "I" and not session.waiting:
+            self.shut_session(session, now)
+
+    # ------------------------------------------------------------ errands
+    def submit(self, session: Session, statement, plan: str, now: float) -> None:
+        """Sends a statement on its way: on its transaction's wire, or into the waitlist.
+
+        >>> Floor.submit.__name__
+        'submit'
+        """
+        transaction = session.transaction
+        rule = transaction.rule if transaction else self.rules.get(session.database)
+        if rule is None:
+            self.reply(session, ["ERR NODB the database is no longer there"], now)
+            return
+        errand = Errand(session, statement, rule, plan or rule.plans[statement.sort], now, transaction)
+        session.errand = errand
+        self.active.add(errand)
+        if transaction and transaction.wire:
+            self.start_on(errand, transaction.wire, now)
+        else:
+            self.enlist(errand, now)
+
+    def enlist(self, errand: Errand, now: float) -> None:
+        """Puts an errand into its service's waitlist, and tries at once.
+
+        >>> Floor.enlist.__name__
+        'enlist'
+        """
+        errand.stage, errand.wire = "waiting", None
+        waitlist = self.waitlists.setdefault(errand.rule.service, [])
+        insort(waitlist, errand, key=Errand.order)
+        self.pump(errand.rule.service, now)
+
+    def end_errand(self, errand: Errand) -> None:
+        """The errand is over, whatever its end.
+
+        >>> Floor.end_errand.__name__
+        'end_errand'
+        """
+        errand.stage = "done"
+        self.active.discard(errand)
+        if errand.session.errand is errand:
+            errand.session.errand = None
+
+    def pump_all(self, now: float) -> None:
+        """Tries every waitlist.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).pump_all(0.0)
+        """
+        for service in self.waitlists:
+            self.pump(service, now)
+
+    def pump(self, service: str, now: float) -> None:
+        """Starts what can start; what finds no wire waits on, in its order.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).pump("svc", 0.0)
+        """
+        waitlist = self.waitlists.get(service)
+        if not waitlist:
+            return
+        full = set()
+        waiting, waitlist[:] = list(waitlist), []
+        kept = [
+            errand for errand in waiting
+            if errand.stage == "waiting" and (now < errand.pause_until or not self.place(errand, full, now))
+        ]
+        waitlist[:] = sorted(kept + waitlist, key=Errand.order) if waitlist else kept
+
+    def place(self, errand: Errand, full: set, now: float) -> bool:
+        """Walks the plan's first step: draws a backend and a wire, and starts the errand on it.
+
+        >>> Floor.place.__name__
+        'place'
+        """
+        yard = self.yard
+        ground = yard.ground(errand.rule.service)
+        if errand.plan[0] == "rotation":
+            errand.needed = self.needed(errand, ground, now)
+            if errand.needed is None:
+                return False
+            backends = yard.draw_rotation(ground, errand.rule, errand.needed, now)
+            if not backends:
+                errand.fall_back()
+        if errand.plan[0] == "lead":
+            backends = yard.lead_candidates(ground, errand.rule, now)[:1]
+        for backend in backends:
+            if backend.name in full:
+                continue
+            wire = yard.take_wire(backend, errand.session.values, errand.statement.prepared)
+            if wire is None:
+                continue
+            if not yard.warm_enough(backend, now):
+                backend.idle.append(wire)
+                full.add(backend.name)
+                continue
+            self.start_on(errand, wire, now)
+            return True
+        for backend in backends[:1]:
+            full.add(backend.name)
+            if backend.dialing < sum(1 for other in self.active if other.stage == "waiting"):
+                self.dial(backend, now)
+        return False
+
+    def needed(self, errand: Errand, ground, now: float):
+        """The position a replica must hold for this read; None while an anchor is sought.
+
+        >>> Floor.needed.__name__
+        'needed'
+        """
+        anchor = ground.anchors.at_least(errand.received - max(0.0, errand.rule.stale_s - ANCHOR_SLACK_S))
+        if anchor is None:
+            outcomes.seek_anchor(self, ground, now)
+            return None
+        return max(anchor, errand.session.last_commit or ORIGIN)
+
+    def dial(self, backend, now: float) -> None:
+        """Opens one more wire to a backend, if it may have one.
+
+        >>> Floor.dial.__name__
+        'dial'
+        """
+        wire = self.yard.new_wire(backend, now)
+        if wire:
+            self.wires[wire.key] = wire
+            self.effects.append(("dial", wire.key, backend.host, backend.port))
+
+    def start_on(self, errand: Errand, wire, now: float) -> None:
+        """Puts the session's values and names in place on the wire, opens what the plan opens, or runs.
+
+        >>> Floor.start_on.__name__
+        'start_on'
+        """
+        session, transaction = errand.session, errand.transaction
+        bound = transaction is not None and transaction.wire is wire
+        errand.wire, errand.sends = wire, errand.sends + (not bound)
+        wire.owner = errand
+        texts = wire.setup(session.values, errand.statement.prepared, bound)
+        if texts is None:
+            outcomes.fail_transaction(self, errand, "ROLLEDBACK", now)
+            return
+        if bound and any(text.startswith("SET ") for text in texts):
+            transaction.touched = True
+        tagged = [("pre", text) for text in texts]
+        if not bound and "open" in errand.plan:
+            tagged.append(("begin", "BEGIN"))
+        elif not bound and "open_read" in errand.plan:
+            tagged.append(("begin", f"WAITPOS {errand.needed} BEGIN FETCH"))
+        errand.pending = len(tagged)
+        if not tagged:
+            self.run(errand, now)
+            return
+        errand.stage = "setup"
+        errand.ran_at = now
+        data = b"".join(wire.ask(tag, "-", text, now) for tag, text in tagged)
+        self.effects.append(("send", wire.key, data))
+
+    def run(self, errand: Errand, now: float) -> None:
+        """Sends the statement itself, and the end behind it where the plan has one.
+
+        >>> Floor.run.__name__
+        'run'
+        """
+        wire, statement = errand.wire, errand.statement
+        errand.stage, errand.ran_at = "run", now
+        text = wire_text(statement, wire.names)
+        if errand.plan == ("rotation", "run"):
+            text = f"WAITPOS {errand.needed} {text}"
+        data = wire.ask("run", statement.id, text, now)
+        if errand.plan[-1] == "end":
+            data += wire.ask("clean", "-", "ABORT", now)
+        self.effects.append(("send", wire.key, data))
--- /dev/null
+++ b/sumacloom/counter/member.py
@@ -0,0 +1,289 @@
+"""A counter's session with a registrar, its parent in the relay tree, and its children."""
+import curio
+
+from ..common.logs import Scribe
+from ..common.settings import split_address
+from ..courier.board import Board
+from ..courier.links import Link, dial, listen, tune
+from ..courier.messages import Digest, Follow, Hello, MemberBeat, News, RegistrarBeat
+
+scribe = Scribe("member")
+BEAT_S = 0.35
+QUIET_S = 1.1
+BEHIND_S = 0.5
+
+
+class Member:
+    """Keeps one session standing, and the news fresh."""
+
+    def __init__(self, settings, clock, on_news, mishaps, report):
+        self.settings, self.clock, self.on_news = settings, clock, on_news
+        self.mishaps, self.report = mishaps, report
+        self.board = Board()
+        self.low, self.high = settings.port_range[0], settings.port_range[0] + 1
+        self.registrars = [f"{split_address(seed)[0]}:{self.low}" for seed in settings.seeds]
+        self.nearness: dict[str, float] = {}
+        self.session: Link | None = None
+        self.parent: Link | None = None
+        self.parent_address = ""
+        self.children: list[Link] = []
+        self.members = 1
+        self.behind_since = None
+        self.attached = ""
+
+    def hello(self) -> Hello:
+        """How this counter names itself.
+
+        >>> Member.hello.__name__
+        'hello'
+        """
+        settings = self.settings
+        return Hello(settings.node, "counter", settings.zone, f"{settings.ip}:{self.high}", settings.ip)
+
+    async def take_news(self, news: News) -> None:
+        """Takes news, and passes on to the children what they lack.
+
+        >>> Member.take_news.__name__
+        'take_news'
+        """
+        if self.board.take(news):
+            await self.on_news(news)
+            self.feed_children()
+
+    def feed_children(self) -> None:
+        """Sends each child what it lacks.
+
+        >>> Member.feed_children.__name__
+        'feed_children'
+        """
+        digest = self.board.digest()
+        for child in self.children:
+            if child.digest is not None and child.digest != digest:
+                news = self.board.news_for(child.digest)
+                if news:
+                    child.send(news)
+                child.digest = digest
+
+    def beat(self) -> None:
+        """Sends a heartbeat now.
+
+        >>> Member.beat.__name__
+        'beat'
+        """
+        if self.session:
+            mishaps = sorted(set(self.mishaps))
+            self.mishaps.clear()
+            self.session.send(MemberBeat(self.board.digest(), mishaps, self.report()))
+
+    # ------------------------------------------------------------ the session
+    async def attach(self) -> None:
+        """Keeps a session with the nearest registrar that answers.
+
+        >>> Member.attach.__name__
+        'attach'
+        """
+        await self.measure()
+        barred: dict[str, float] = {}
+        while True:
+            now = self.clock()
+            order = sorted(self.registrars, key=lambda address: (
+                barred.get(address, 0) > now, self.nearness.get(address, 1.0)))
+            address = order[0]
+            try:
+                link = await self.open(address)
+            except OSError:
+                barred[address] = now + 1.5
+                await curio.sleep(0.05)
+                continue
+            self.session, self.attached = link, address
+            link.heard_at = self.clock()
+            watcher = await curio.spawn(self.watch, link, daemon=True)
+            self.beat()
+            async for message in link.messages():
+                link.heard_at = self.clock()
+                await self.hear(link, message)
+            await watcher.cancel()
+            self.session = None
+            await link.close()
+            barred[address] = self.clock() + 1.5
+
+    async def measure(self) -> None:
+        """Learns which registrar is nearest by the time that a connection takes.
+
+        >>> Member.measure.__name__
+        'measure'
+        """
+        async def time_one(address):
+            started = self.clock()
+            try:
+                sock = await dial(*split_address(address), 0.4)
+                self.nearness[address] = self.clock() - started
+                await sock.close()
+            except OSError:
+                pass
+        tasks = [await curio.spawn(time_one, address) for address in self.registrars]
+        for task in tasks:
+            await task.join()
+
+    async def open(self, address: str) -> Link:
+        """Dials a daemon and says hello.
+
+        >>> Member.open.__name__
+        'open'
+        """
+        started = self.clock()
+        sock = await dial(*split_address(address), 0.5)
+        self.nearness[address] = self.clock() - started
+        link = Link(sock)
+        link.send(self.hello())
+        return link
+
+    async def watch(self, link: Link) -> None:
+        """Beats on the session; ends it when it goes quiet, or when a nearer registrar is back.
+
+        >>> Member.watch.__name__
+        'watch'
+        """
+        looked_at = self.clock()
+        while True:
+            await curio.sleep(BEAT_S)
+            now = self.clock()
+            if now - link.heard_at > QUIET_S:
+                scribe.say("the registrar at %s went quiet", self.attached)
+                break
+            self.beat()
+            if now - looked_at > 3.0:
+                looked_at = now
+                if await self.nearer_is_back():
+                    break
+        link.outlet.closed = True
+        try:
+            link.sock._socket.shutdown(2)
+        except OSError:
+            pass
+
+    async def nearer_is_back(self) -> bool:
+        """Whether a clearly nearer registrar takes links again.
+
+        >>> Member.nearer_is_back.__name__
+        'nearer_is_back'
+        """
+        mine = self.nearness.get(self.attached, 1.0)
+        nearer = [address for address in self.registrars if self.nearness.get(address, 0.0) < mine / 4]
+        for address in nearer:
+            started = self.clock()
+            try:
+                sock = await dial(*split_address(address), 0.3)
+            except OSError:
+                continue
+            self.nearness[address] = self.clock() - started
+            await sock.close()
+            if self.nearness[address] < mine / 4:
+                return True
+        return False
+
+    async def hear(self, link: Link, message) -> None:
+        """What the registrar says.
+
+        >>> Member.hear.__name__
+        'hear'
+        """
+        if isinstance(message, News):
+            await self.take_news(message)
+        elif isinstance(message, RegistrarBeat):
+            self.members = message.members
+            self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
+            await self.follow(message.parent)
+            self.check_behind(link, message.digest)
+
+    def check_behind(self, link: Link, digest: Digest) -> None:
+        """Pulls from the registrar itself when the tree leaves us behind for long.
+
+        >>> Member.check_behind.__name__
+        'check_behind'
+        """
+        now = self.clock()
+        if digest == self.board.digest():
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now
+            if not self.parent_address:
+                link.send(Follow(self.board.digest()))
+        elif now - self.behind_since >= BEHIND_S:
+            self.behind_since = now
+            link.send(Follow(self.board.digest()))
+
+    # ------------------------------------------------------------ the tree
+    async def follow(self, address: str) -> None:
+        """Takes news from the parent that the registrar names; nothing means from itself.
+
+        >>> Member.follow.__name__
+        'follow'
+        """
+        if address == self.parent_address:
+            if self.parent:
+                self.parent.send(Follow(self.board.digest()))
+            return
+        self.parent_address = address
+        if self.parent:
+            old, self.parent = self.parent, None
+            old.outlet.closed = True
+            try:
+                old.sock._socket.shutdown(2)
+            except OSError:
+                pass
+        if address:
+            await curio.spawn(self.keep_parent, address, daemon=True)
+
+    async def keep_parent(self, address: str) -> None:
+        """Listens to one parent while it is ours.
+
+        >>> Member.keep_parent.__name__
+        'keep_parent'
+        """
+        while self.parent_address == address:
+            try:
+                link = await self.open(address)
+            except OSError:
+                await curio.sleep(0.5)
+                continue
+            self.parent = link
+            link.send(Follow(self.board.digest()))
+            async for message in link.messages():
+                if isinstance(message, News):
+                    await self.take_news(message)
+            if self.parent is link:
+                self.parent = None
+            await link.close()
+            await curio.sleep(0.2)
+
+    async def take_child(self, sock) -> None:
+        """Another counter takes its news from us.
+
+        >>> Member.take_child.__name__
+        'take_child'
+        """
+        tune(sock._socket)
+        link = Link(sock)
+        self.children.append(link)
+        async for message in link.messages():
+            if isinstance(message, Follow):
+                link.digest = message.digest
+                self.feed_children()
+        self.children.remove(link)
+        await link.close()
+
+    async def serve_children(self) -> None:
+        """Takes links of children for ever.
+
+        >>> Member.serve_children.__name__
+        'serve_children'
+        """
+        sock = listen(self.settings.ip, self.high)
+        while True:
+            try:
+                client, _address = await sock.accept()
+            except OSError:
+                await curio.sleep(0.05)
+                continue
+            await curio.spawn(self.take_child, client, daemon=True)
--- /dev/null
+++ b/sumacloom/counter/rotation.py
@@ -0,0 +1,149 @@
+"""The paper's health: which replicas of a service may serve reads.
+
+Kept per replica: last position, lag behind the freshest replica seen, when soft lag began,
+how long it has been inside the band. The chart `replica` decides; this module measures.
+"""
+from collections import deque
+
+from ..charts import load_chart
+from ..common.logs import Scribe
+from ..common.settings import Health
+from ..common.types import ORIGIN, Position
+
+scribe = Scribe("rotation")
+CHART = load_chart("replica")
+LEAST_SOFT, LEAST_HARD = 3, 8      # positions; the source's own figures, kept as least widths
+
+
+class Replica:
+    """What a counter knows of one replica's freshness."""
+
+    __slots__ = ("name", "state", "position", "lag", "seen_at", "soft_since", "band_since")
+
+    def __init__(self, name: str):
+        self.name = name
+        self.state = CHART.start
+        self.position = ORIGIN
+        self.lag = 0
+        self.seen_at = None
+        self.soft_since = self.band_since = 0.0
+
+
+class Rotation:
+    """The rotation of one service.
+
+    >>> rotation = Rotation(Health())
+    >>> rotation.see("a", Position(1, 10), 0.0); rotation.see("b", Position(1, 9), 0.1)
+    >>> [replica.name for replica in rotation.inside()]
+    ['a', 'b']
+    """
+
+    def __init__(self, health: Health):
+        self.health = health
+        self.replicas = {}
+        self.tip = ORIGIN
+        self.tips = deque(maxlen=32)
+        self.frozen = False
+
+    def bands(self) -> tuple[int, int]:
+        """The soft and the hard width in positions, from the commit rate seen.
+
+        >>> Rotation(Health()).bands()
+        (3, 8)
+        """
+        rate = 0.0
+        if len(self.tips) > 1:
+            (first_at, first), (last_at, last) = self.tips[0], self.tips[-1]
+            if last_at > first_at and last.term == first.term:
+                rate = (last.number - first.number) / (last_at - first_at)
+        return (
+            max(LEAST_SOFT, round(rate * self.health.soft_lag_ms / 1000)),
+            max(LEAST_HARD, round(rate * self.health.hard_lag_ms / 1000)),
+        )
+
+    def see(self, name: str, position: Position, now: float) -> None:
+        """Takes a position read from a replica, by a sweep or by ordinary traffic.
+
+        >>> rotation = Rotation(Health())
+        >>> rotation.see("a", Position(1, 50), 0.0); rotation.see("b", Position(1, 1), 0.1)
+        >>> [replica.name for replica in rotation.inside()]
+        ['a']
+        """
+        if self.frozen:
+            return
+        replica = self.replicas.get(name)
+        if replica is None:
+            replica = self.replicas[name] = Replica(name)
+        if position > self.tip:
+            if not self.tips or now - self.tips[-1][0] >= 0.25 or position.term != self.tip.term:
+                self.tips.append((now, position))
+            self.tip = position
+        first = replica.seen_at is None
+        replica.position, replica.seen_at = position, now
+        behind = self.tip.term != position.term
+        soft, hard = self.bands()
+        replica.lag = hard if behind else self.tip.number - position.number
+        if replica.lag <= soft:
+            self.apply(replica, "first" if first else "band", now)
+            if replica.state == "staying" and now - replica.band_since >= self.health.readmit_s:
+                self.apply(replica, "stayed", now)
+        elif replica.lag < hard:
+            self.apply(replica, "soft", now)
+            graced_out = replica.state == "lagging" and now - replica.soft_since >= self.health.grace_s
+            if graced_out and len(self.inside()) > self.health.floor:
+                self.apply(replica, "graced_out", now)
+        else:
+            self.apply(replica, "hard", now)
+
+    def silent(self, name: str, now: float) -> None:
+        """A sweep or a wire of that replica got no answer.
+
+        >>> rotation = Rotation(Health()); rotation.see("a", Position(1, 1), 0.0)
+        >>> rotation.silent("a", 1.0); rotation.inside()
+        []
+        """
+        replica = self.replicas.get(name)
+        if replica and not self.frozen:
+            self.apply(replica, "silent", now)
+
+    def forget(self, name: str) -> None:
+        """The replica is gone, or leads now.
+
+        >>> Rotation(Health()).forget("a")
+        """
+        self.replicas.pop(name, None)
+
+    def apply(self, replica: Replica, event: str, now: float) -> None:
+        """Runs one event through the chart and does what it says.
+
+        >>> rotation = Rotation(Health()); replica = Replica("a")
+        >>> rotation.apply(replica, "first", 0.0); replica.state
+        'inside'
+        """
+        replica.state, actions = CHART.step(replica.state, event)
+        for action in actions:
+            if action == "mark_soft":
+                replica.soft_since = now
+            elif action == "mark_band":
+                replica.band_since = now
+            elif action == "say_evicted":
+                scribe.say("the replica %s left the rotation (%s, %d behind)", replica.name, event, replica.lag)
+            elif action == "say_readmitted":
+                scribe.say("the replica %s is back in the rotation", replica.name)
+
+    def inside(self) -> list[Replica]:
+        """The replicas in rotation.
+
+        >>> Rotation(Health()).inside()
+        []
+        """
+        return [replica for replica in self.replicas.values() if replica.state in ("inside", "lagging")]
+
+    def due(self, name: str, now: float) -> bool:
+        """Whether this sweep must ask the replica, traffic not having shown its position.
+
+        >>> Rotation(Health()).due("a", 5.0)
+        True
+        """
+        replica = self.replicas.get(name)
+        return replica is None or replica.seen_at is None or now - replica.seen_at >= self.health.sweep_s * 0.9
--- /dev/null
+++ b/sumacloom/counter/shell.py
@@ -0,0 +1,270 @@
+"""The counter's shell: sockets and clock around the floor."""
+import signal
+import time
+
+import curio
+
+from ..common import http
+from ..common.logs import Scribe
+from ..common.settings import Settings, read_settings, split_address
+from ..courier.board import Board
+from ..courier.links import Outlet, dial, listen, tune
+from . import outcomes, upkeep
+from .floor import Floor
+from .member import Member
+
+scribe = Scribe("counter")
+TICK_S = 0.05
+KEPT_DESCRIPTORS = 600
+MOST_WAITING = 16
+
+
+class Shell:
+    """One running counter."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.floor = Floor(settings)
+        self.outlets: dict = {}          # session or wire key: outlet
+        self.blocked: set = set()
+        self.next_session = 0
+        self.most_sessions = max(64, settings.limits.nofile - KEPT_DESCRIPTORS)
+        self.over = curio.Event()
+        self.member = Member(settings, self.now, self.take_news, self.floor.mishaps, lambda: None)
+
+    @staticmethod
+    def now() -> float:
+        """The steady clock.
+
+        >>> Shell.now() <= Shell.now()
+        True
+        """
+        return time.monotonic()
+
+    # ------------------------------------------------------------ effects
+    async def act(self) -> None:
+        """Does what the floor asked for.
+
+        >>> Shell.act.__name__
+        'act'
+        """
+        while self.floor.effects:
+            effects, self.floor.effects = self.floor.effects, []
+            for kind, *rest in effects:
+                if kind == "send":
+                    self.send(*rest)
+                elif kind == "shut":
+                    self.shut(*rest)
+                elif kind == "dial":
+                    await curio.spawn(self.run_wire, *rest, daemon=True)
+                elif kind == "exit":
+                    await self.over.set()
+
+    def send(self, key, data: bytes) -> None:
+        """Bytes for a session or a wire.
+
+        >>> Shell.send.__name__
+        'send'
+        """
+        outlet = self.outlets.get(key)
+        if outlet is None:
+            return
+        if not outlet.send(data):
+            self.shut(key)
+        elif outlet.waiting:
+            self.blocked.add(key)
+
+    def shut(self, key) -> None:
+        """Ends a connection; its reader then sees the end.
+
+        >>> Shell.shut.__name__
+        'shut'
+        """
+        outlet = self.outlets.pop(key, None)
+        self.blocked.discard(key)
+        if outlet is None:
+            return
+        outlet.flush()
+        outlet.closed = True
+        try:
+            outlet.sock._socket.shutdown(2)
+        except OSError:
+            pass
+
+    async def run_wire(self, key: int, host: str, port: int) -> None:
+        """Dials a backend and reads from it to the end.
+
+        >>> Shell.run_wire.__name__
+        'run_wire'
+        """
+        wire = self.floor.wires.get(key)
+        try:
+            sock = await dial(host, port)
+        except OSError as error:
+            await self.end_wire(key, str(error))
+            return
+        async with sock:
+            wire = self.floor.wires.get(key)
+            if wire is None:
+                return
+            outlet = self.outlets[key] = Outlet(sock)
+            outlet.send(wire.login(self.settings.node))
+            why = "it was closed"
+            try:
+                while True:
+                    data = await sock.recv(65536)
+                    if not data:
+                        break
+                    outcomes.wire_data(self.floor, key, data, self.now())
+                    await self.act()
+            except OSError as error:
+                why = str(error)
+            await self.end_wire(key, why)
+
+    async def end_wire(self, key: int, why: str) -> None:
+        """A wire has ended.
+
+        >>> Shell.end_wire.__name__
+        'end_wire'
+        """
+        self.outlets.pop(key, None)
+        wire = self.floor.wires.get(key)
+        if wire:
+            outcomes.wire_lost(self.floor, wire, why, self.now())
+            if self.floor.mishaps:
+                self.member.beat()
+        await self.act()
+
+    async def run_session(self, sock) -> None:
+        """Reads from a client to the end.
+
+        >>> Shell.run_session.__name__
+        'run_session'
+        """
+        if len(self.floor.sessions) >= self.most_sessions:
+            async with sock:
+                return
+        self.next_session -= 1
+        key = self.next_session
+        floor = self.floor
+        tune(sock._socket, 10_000)
+        async with sock:
+            self.outlets[key] = Outlet(sock)
+            floor.session_opened(key, self.now())
+            session = floor.sessions[key]
+            try:
+                while True:
+                    data = await sock.recv(65536)
+                    if not data:
+                        break
+                    floor.session_data(key, data, self.now())
+                    await self.act()
+                    while len(session.waiting) > MOST_WAITING and not session.closed:
+                        await curio.sleep(0.02)
+            except OSError:
+                pass
+            self.outlets.pop(key, None)
+            floor.session_closed(key, self.now())
+            await self.act()
+
+    # ------------------------------------------------------------ news
+    async def take_news(self, _news) -> None:
+        """The board has something newer.
+
+        >>> Shell.take_news.__name__
+        'take_news'
+        """
+        board: Board = self.member.board
+        now = self.now()
+        if board.blueprint:
+            self.floor.take_blueprint(board.blueprint, now)
+        self.floor.yard.take_evacuations(board.zones, now)
+        self.floor.take_records(list(board.records.values()), now)
+        await self.act()
+
+    # ------------------------------------------------------------ running
+    async def clock(self) -> None:
+        """Ticks.
+
+        >>> Shell.clock.__name__
+        'clock'
+        """
+        while True:
+            await curio.sleep(TICK_S)
+            self.floor.yard.members = self.member.members
+            upkeep.tick(self.floor, self.now())
+            for key in list(self.blocked):
+                outlet = self.outlets.get(key)
+                if outlet is None or outlet.flush():
+                    self.blocked.discard(key)
+            if self.floor.mishaps:
+                self.member.beat()
+            await self.act()
+
+    async def accept(self, sock, serve) -> None:
+        """Takes connections for ever.
+
+        >>> Shell.accept.__name__
+        'accept'
+        """
+        while True:
+            try:
+                client, _address = await sock.accept()
+            except OSError:
+                await curio.sleep(0.05)
+                continue
+            await curio.spawn(serve, client, daemon=True)
+
+    async def serve_ready(self, sock) -> None:
+        """Tells the platform whether to send clients here.
+
+        >>> Shell.serve_ready.__name__
+        'serve_ready'
+        """
+        async def handler(request):
+            path = request.path.partition("?")[0]
+            if path != "/api/ready":
+                return http.Reply(404)
+            if request.method != "GET":
+                return http.Reply(405)
+            return http.Reply(200 if self.floor.ready else 503)
+        await http.serve_wire(sock, handler, 4096)
+
+    async def hup(self, signals) -> None:
+        """Reads the settings file again at each SIGHUP; nothing is dropped.
+
+        >>> Shell.hup.__name__
+        'hup'
+        """
+        async for _signal in signals:
+            result = read_settings("counter")
+            if result.is_err():
+                scribe.warn("the old settings stay: %s", result.err().sentence)
+                continue
+            fresh = result.ok()
+            self.settings.bounds, self.settings.health = fresh.bounds, fresh.health
+            self.settings.seeds = fresh.seeds
+            scribe.say("the settings were read again")
+
+    async def main(self) -> int:
+        """Runs until SIGTERM, then leaves in order.
+
+        >>> Shell.main.__name__
+        'main'
+        """
+        settings = self.settings
+        hangups = curio.SignalQueue(signal.SIGHUP)
+        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as endings, hangups:
+            for name, serve in (("fe", self.run_session), ("readyz", self.serve_ready)):
+                sock = listen(*split_address(getattr(settings.listen, name)))
+                await curio.spawn(self.accept, sock, serve, daemon=True)
+            await curio.spawn(self.member.serve_children, daemon=True)
+            await curio.spawn(self.member.attach, daemon=True)
+            await curio.spawn(self.clock, daemon=True)
+            await curio.spawn(self.hup, hangups, daemon=True)
+            scribe.say("serving at %s", settings.listen.fe)
+            await endings.get()
+            upkeep.sigterm(self.floor, self.now())
+            await self.over.wait()
+            scribe.say("gone")
+        return 0
--- /dev/null
+++ b/sumacloom/counter/upkeep.py
@@ -0,0 +1,231 @@
+"""What a counter does by the clock: cutoffs, sweeps, warm wires, leaving in order."""
+from ..common.logs import Scribe
+from . import outcomes
+from .floor import LEAVING, Floor
+
+scribe = Scribe("upkeep")
+SETUP_CUTOFF_S = 0.6
+OWN_CUTOFF_S = 1.0
+DIAL_CUTOFF_S = 0.8
+READ_AGAIN_S = 0.9
+UNLISTED_S = 2.3
+LOGIN_CUTOFF_S = 5.0
+WARM_EVERY_S = 0.5
+
+AT = {}
+
+
+def stage(name: str):
+    """Registers what the clock does to errands at a stage.
+
+    >>> "run" in AT
+    True
+    """
+    def register(function):
+        AT[name] = function
+        return function
+    return register
+
+
+def tick(floor: Floor, now: float) -> None:
+    """All that is due; the shell calls it some twenty times a second.
+
+    >>> tick.__name__
+    'tick'
+    """
+    for errand in [errand for errand in floor.active if errand.stage in AT]:
+        AT[errand.stage](floor, errand, now)
+    for service, waitlist in floor.waitlists.items():
+        if waitlist:
+            floor.pump(service, now)
+    if now - floor.warmed_at >= WARM_EVERY_S:
+        floor.warmed_at = now
+        end_resting(floor, now)
+        check_wires(floor, now)
+        warm(floor, now)
+        sweep(floor, now)
+    if floor.leaving not in ("serving", "gone"):
+        leave_step(floor, now)
+
+
+@stage("waiting")
+def check_waiting(floor, errand, now: float) -> None:
+    """An errand that can't be started in time is given up at once, not at the end.
+
+    >>> AT["waiting"] is check_waiting
+    True
+    """
+    if now >= errand.hold_until:
+        outcomes.refuse(floor, errand, now)
+
+
+@stage("setup")
+def check_setup(floor, errand, now: float) -> None:
+    """A wire that leaves our own texts unanswered is dark.
+
+    >>> AT["setup"] is check_setup
+    True
+    """
+    if now - errand.ran_at >= SETUP_CUTOFF_S or now >= errand.cutoff:
+        outcomes.wire_lost(floor, errand.wire, "its setup went unanswered", now)
+
+
+@stage("paused")
+def check_paused(floor, errand, now: float) -> None:
+    """A statement that found its backend busy goes out again on the same wire.
+
+    >>> AT["paused"] is check_paused
+    True
+    """
+    if now >= errand.cutoff:
+        outcomes.fail_transaction(floor, errand, "BUSY", now)
+    elif now >= errand.pause_until:
+        floor.run(errand, now)
+
+
+@stage("run")
+def check_running(floor, errand, now: float) -> None:
+    """A statement past its time-out is told so; a slow single read tries elsewhere once.
+
+    >>> AT["run"] is check_running
+    True
+    """
+    wire, session = errand.wire, errand.session
+    if now >= errand.cutoff:
+        if errand.transaction:
+            errand.transaction.failed, errand.transaction.wire = "told", None
+            if errand.statement.sort == "commit":
+                session.transaction = None
+        outcomes.finish(floor, errand, ["ERR TIMEDOUT the statement took too long"], now)
+        wire.owner = None
+        outcomes.wire_lost(floor, wire, "a statement took too long", now)
+    elif (errand.only_reads and errand.transaction is None and errand.sends < 2
+          and now - errand.ran_at >= READ_AGAIN_S):
+        outcomes.wire_lost(floor, wire, "a read took too long", now)
+
+
+def end_resting(floor, now: float) -> None:
+    """Ends transactions that rest too long, and connections that never log in.
+
+    >>> end_resting.__name__
+    'end_resting'
+    """
+    rest_s = floor.blueprint.limits.tx_idle_ms / 1000 if floor.blueprint else 3.0
+    for session in list(floor.sessions.values()):
+        transaction = session.transaction
+        if session.database is None and now - session.opened_at >= LOGIN_CUTOFF_S:
+            floor.shut_session(session, now)
+        elif transaction and transaction.wire and session.errand is None:
+            backend = floor.yard.backends.get(transaction.wire.backend)
+            closed = backend is not None and floor.yard.closed_to_new(backend, now)
+            if closed or now - transaction.rested_at >= rest_s:
+                wire, transaction.wire, transaction.failed = transaction.wire, None, "ROLLEDBACK"
+                outcomes.release(floor, wire, now, touched=transaction.touched)
+
+
+def check_wires(floor, now: float) -> None:
+    """Closes wires that leave a text of our own unanswered.
+
+    >>> check_wires.__name__
+    'check_wires'
+    """
+    late = [
+        wire for wire in floor.wires.values()
+        if wire.owner is None and (wire.expected or not wire.open)
+        and now - (wire.asked_at if wire.open else wire.opened_at) >= (OWN_CUTOFF_S if wire.open else DIAL_CUTOFF_S)
+    ]
+    for wire in late:
+        outcomes.wire_lost(floor, wire, "it went silent", now)
+
+
+def warm(floor, now: float) -> None:
+    """Keeps one wire to every backend that this counter may need.
+
+    >>> warm.__name__
+    'warm'
+    """
+    if floor.blueprint is None:
+        return
+    wanted = {route.svc for route in floor.blueprint.routes}
+    for backend in floor.yard.backends.values():
+        closed = backend.phase != "up" or backend.zone in floor.yard.evacuated
+        if backend.service in wanted and not backend.wires and not closed:
+            floor.dial(backend, now)
+
+
+def sweep(floor, now: float) -> None:
+    """Asks each replica for its position once a second, unless traffic showed it.
+
+    >>> sweep.__name__
+    'sweep'
+    """
+    if floor.leaving != "serving":
+        return
+    for ground in floor.yard.grounds.values():
+        if now - ground.swept_at < floor.settings.health.sweep_s * 0.9:
+            continue
+        ground.swept_at = now
+        due = [
+            backend for backend in ground.backends.values()
+            if backend.role != "primary" and backend.idle and ground.rotation.due(backend.name, now)
+        ]
+        for backend in due:
+            wire = backend.idle.pop()
+            floor.effects.append(("send", wire.key, wire.ask("stat", "-", "STAT", now)))
+
+
+def sigterm(floor, now: float) -> None:
+    """The platform asks this process to end.
+
+    >>> sigterm.__name__
+    'sigterm'
+    """
+    floor.leaving_at = now
+    leave(floor, "sigterm", now)
+
+
+def leave_step(floor, now: float) -> None:
+    """Walks the chart `leaving` by the clock.
+
+    >>> leave_step.__name__
+    'leave_step'
+    """
+    grace = floor.settings.bounds.grace_s
+    gone_for = now - floor.leaving_at
+    if gone_for >= min(UNLISTED_S, grace * 0.4):
+        leave(floor, "unlisted", now)
+    if gone_for >= grace / 2:
+        leave(floor, "half", now)
+    if gone_for >= grace * 0.8:
+        leave(floor, "late", now)
+    if not floor.sessions:
+        leave(floor, "empty", now)
+
+
+def leave(floor, event: str, now: float) -> None:
+    """One event of leaving, and what the chart says to do.
+
+    >>> leave.__name__
+    'leave'
+    """
+    floor.leaving, actions = LEAVING.step(floor.leaving, event)
+    for action in actions:
+        if action == "say_leaving":
+            scribe.say("leaving: no longer ready, serving on")
+        elif action == "freeze_health":
+            for ground in floor.yard.grounds.values():
+                ground.rotation.frozen = True
+        elif action == "close_idle":
+            for session in list(floor.sessions.values()):
+                if session.state == "I" and session.errand is None and not session.waiting:
+                    floor.shut_session(session, now)
+        elif action == "end_transactions":
+            for session in list(floor.sessions.values()):
+                transaction = session.transaction
+                if transaction and session.errand is None:
+                    if transaction.wire:
+                        outcomes.release(floor, transaction.wire, now, touched=True)
+                    transaction.wire = None
+                    transaction.failed = transaction.failed or "ROLLEDBACK"
+        elif action == "exit":
+            floor.effects.append(("exit",))
--- /dev/null
+++ b/sumacloom/counter/verbs.py
@@ -0,0 +1,131 @@
+"""What each sort of statement does; all but reads, writes and COMMIT are answered here."""
+from . import outcomes
+from .session import MOST_VALUES, Session, Transaction
+
+SORTS = {}
+
+
+def sort(*names):
+    """Registers the handler of statements of these sorts.
+
+    >>> "begin" in SORTS
+    True
+    """
+    def register(function):
+        SORTS.update(dict.fromkeys(names, function))
+        return function
+    return register
+
+
+@sort("read", "write")
+def handle_statement(floor, session: Session, statement, now: float) -> None:
+    """A read or a write, single or in a transaction.
+
+    >>> handle_statement in SORTS.values()
+    True
+    """
+    transaction = session.transaction
+    plan = ""
+    if transaction:
+        plan = transaction.rule.plans["begin_read" if transaction.mode == "begin_read" else "begin"]
+    floor.submit(session, statement, plan, now)
+
+
+@sort("begin", "begin_read")
+def handle_begin(floor, session: Session, statement, now: float) -> None:
+    """A transaction begins here; its wire is drawn at its first statement.
+
+    >>> SORTS["begin"] is handle_begin
+    True
+    """
+    rule = floor.rules.get(session.database)
+    if session.transaction:
+        floor.reply(session, ["ERR MALFORMED a transaction is open"], now)
+    elif rule is None:
+        floor.reply(session, ["ERR NODB the database is no longer there"], now)
+    else:
+        session.transaction = Transaction(rule, statement.sort, now)
+        floor.reply(session, ["DONE -"], now)
+
+
+@sort("commit")
+def handle_commit(floor, session: Session, statement, now: float) -> None:
+    """COMMIT goes to the backend; after a failure it is answered here.
+
+    >>> SORTS["commit"] is handle_commit
+    True
+    """
+    transaction = session.transaction
+    if transaction is None:
+        floor.reply(session, ["ERR MALFORMED no transaction is open"], now)
+    elif transaction.failed:
+        session.transaction = None
+        floor.reply(session, ["ERR ROLLEDBACK the transaction had failed"], now)
+    else:
+        handle_statement(floor, session, statement, now)
+
+
+@sort("abort")
+def handle_abort(floor, session: Session, statement, now: float) -> None:
+    """ABORT is answered here; the wire is rolled back behind it.
+
+    >>> SORTS["abort"] is handle_abort
+    True
+    """
+    transaction, session.transaction = session.transaction, None
+    if transaction is None:
+        floor.reply(session, ["ERR MALFORMED no transaction is open"], now)
+        return
+    if transaction.wire:
+        outcomes.release(floor, transaction.wire, now, touched=transaction.touched)
+    floor.reply(session, ["DONE -"], now)
+
+
+@sort("set")
+def handle_set(floor, session: Session, statement, now: float) -> None:
+    """SET is kept here and put on a wire when one is drawn.
+
+    >>> SORTS["set"] is handle_set
+    True
+    """
+    if len(session.values) >= MOST_VALUES and statement.name not in session.values:
+        floor.reply(session, ["ERR TOOLONG too many session values"], now)
+        return
+    session.values[statement.name] = statement.rest
+    floor.reply(session, ["DONE -"], now)
+
+
+@sort("prep")
+def handle_prep(floor, session: Session, statement, now: float) -> None:
+    """PREP is kept here and put on a wire when it runs.
+
+    >>> SORTS["prep"] is handle_prep
+    True
+    """
+    if len(session.names) >= MOST_VALUES and statement.name not in session.names:
+        floor.reply(session, ["ERR TOOLONG too many prepared names"], now)
+        return
+    session.names[statement.name] = statement.prepared
+    floor.reply(session, ["DONE -"], now)
+
+
+@sort("free")
+def handle_free(floor, session: Session, statement, now: float) -> None:
+    """FREE forgets the name.
+
+    >>> SORTS["free"] is handle_free
+    True
+    """
+    session.names.pop(statement.name, None)
+    floor.reply(session, ["DONE -"], now)
+
+
+@sort("nosuch", "malformed")
+def handle_unreadable(floor, session: Session, statement, now: float) -> None:
+    """What can't run goes to no backend.
+
+    >>> SORTS["nosuch"] is SORTS["malformed"]
+    True
+    """
+    text = "NOSUCH there is no such name" if statement.sort == "nosuch" else "MALFORMED this statement is not understood"
+    floor.reply(session, [f"ERR {text}"], now)
--- /dev/null
+++ b/sumacloom/counter/wire.py
@@ -0,0 +1,152 @@
+"""One pooled connection to a backend: its record of values and names, and its results."""
+from collections import deque
+from typing import NamedTuple
+
+from ..common.lines import LineSplitter, encode
+from ..common.types import Position, read_position
+
+MOST_NAMES = 200
+MOST_ROWS = 8 << 20
+
+
+class WireResult(NamedTuple):
+    """A whole result of a backend: what it answers, rows, last line, state and position after it."""
+
+    tag: str
+    rows: list
+    line: str
+    state: str
+    position: Position | None
+    asked_at: float
+
+    @property
+    def code(self) -> str:
+        """The code of an ERR, else nothing.
+
+        >>> WireResult("run", [], "ERR RO i-1", "E", None, 0.0).code
+        'RO'
+        """
+        return self.line.split(" ", 2)[1] if self.line.startswith("ERR ") else ""
+
+
+class Wire:
+    """A wire's state machine: lines in, results out; asks give bytes to send.
+
+    >>> wire = Wire(1, "i-1", "svc", 0.0)
+    >>> wire.login("me")
+    b'LOGIN svc me i-1\\r\\n'
+    >>> [result.tag for result in wire.feed(b"READY I 3.7\\r\\n")]
+    ['login']
+    >>> wire.ask("run", "5c", "FETCH a", 1.0)
+    b'QUERY 5c FETCH a\\r\\n'
+    >>> [result.line for result in wire.feed(b"ROW x\\r\\nDONE 7.1\\r\\nREADY I 3.8\\r\\n")]
+    ['DONE 7.1']
+    """
+
+    __slots__ = (
+        "key", "backend", "service", "splitter", "expected", "rows", "size", "line", "state", "position",
+        "values", "names", "dirty", "owner", "open", "lost", "opened_at", "idle_since", "asked_at",
+    )
+
+    def __init__(self, key: int, backend: str, service: str, now: float):
+        self.key, self.backend, self.service = key, backend, service
+        self.splitter = LineSplitter()
+        self.expected = deque()
+        self.rows, self.size, self.line = [], 0, ""
+        self.state, self.position = "I", None
+        self.values, self.names, self.dirty = {}, {}, False
+        self.owner = None
+        self.open = self.lost = False
+        self.opened_at = self.idle_since = self.asked_at = now
+
+    def login(self, who: str) -> bytes:
+        """The first line, with the id expected at that address.
+
+        >>> Wire(1, "i-1", "svc", 0.0).login("me")
+        b'LOGIN svc me i-1\\r\\n'
+        """
+        self.expected.append(("login", self.opened_at))
+        return encode(f"LOGIN {self.service} {who} {self.backend}")
+
+    def ask(self, tag: str, statement_id: str, text: str, now: float) -> bytes:
+        """A statement to send, whose result will carry the tag.
+
+        >>> Wire(1, "i-1", "svc", 0.0).ask("own", "-", "BEGIN", 0.0)
+        b'QUERY - BEGIN\\r\\n'
+        """
+        self.expected.append((tag, now))
+        self.asked_at = now
+        return encode(f"QUERY {statement_id} {text}")
+
+    def feed(self, data: bytes) -> list[WireResult]:
+        """Takes bytes of the backend; anything odd sets `lost`, and the wire is closed.
+
+        >>> wire = Wire(1, "i-1", "svc", 0.0); wire.feed(b"ROW stray\\r\\n"), wire.lost
+        ([], True)
+        """
+        results = []
+        for line in self.splitter.feed(data):
+            if not self.expected:
+                self.lost = True
+                break
+            word, _blank, rest = line.partition(" ")
+            if word == "ROW" and not self.line:
+                self.rows.append(line)
+                self.size += len(line)
+                self.lost = self.size > MOST_ROWS
+            elif word in ("DONE", "ERR") and not self.line:
+                self.line = line
+                if self.expected[0][0] == "login":
+                    results.append(self.finish("", None))
+            elif word == "READY" and (self.line or self.expected[0][0] == "login"):
+                state, _blank, position = rest.partition(" ")
+                self.state, self.position = state, read_position(position) or self.position
+                results.append(self.finish(state, read_position(position)))
+            else:
+                self.lost = True
+            if self.lost:
+                break
+        self.lost = self.lost or self.splitter.overflow
+        return results
+
+    def finish(self, state: str, position: Position | None) -> WireResult:
+        """Ends the result being read.
+
+        >>> wire = Wire(1, "i-1", "svc", 0.0); _bytes = wire.login("me"); wire.finish("I", None).tag
+        'login'
+        """
+        tag, asked_at = self.expected.popleft()
+        result = WireResult(tag, self.rows, self.line, state, position, asked_at)
+        self.rows, self.size, self.line = [], 0, ""
+        return result
+
+    def fits(self, values: dict) -> bool:
+        """Whether the session's values need no RESET here.
+
+        >>> Wire(1, "i-1", "svc", 0.0).fits({"a": "1"})
+        True
+        """
+        return not self.dirty and all(values.get(name) == value for name, value in self.values.items())
+
+    def setup(self, values: dict, prepared: tuple | None, in_transaction: bool) -> list[str] | None:
+        """The texts that put a session's values and a prepared shape in place.
+
+        None says that this wire can't do so inside its transaction.
+
+        >>> Wire(1, "i-1", "svc", 0.0).setup({"a": "1"}, ("FETCH", "q"), False)
+        ['SET a 1', 'PREP p1 FETCH q']
+        """
+        texts = []
+        if not self.fits(values) or len(self.names) > MOST_NAMES:
+            if in_transaction:
+                return None
+            texts.append("RESET")
+            self.values, self.names, self.dirty = {}, {}, False
+        missing = {name: value for name, value in values.items() if self.values.get(name) != value}
+        texts += [f"SET {name} {value}" for name, value in missing.items()]
+        self.values.update(missing)
+        if prepared and prepared not in self.names:
+            kind, shape = prepared
+            self.names[prepared] = f"p{len(self.names) + 1}"
+            texts.append(f"PREP {self.names[prepared]} {kind} {shape}")
+        return texts
--- /dev/null
+++ b/sumacloom/counter/yard.py
@@ -0,0 +1,312 @@
+"""The backends a counter knows, their wires, and which of them may be drawn."""
+from ..common.logs import Scribe
+from ..common.settings import Settings, split_address
+from ..common.types import ORIGIN, Position
+from .anchors import Anchors
+from .rotation import Rotation
+from .wire import Wire
+
+scribe = Scribe("yard")
+BACKOFF_S, MOST_BACKOFF_S = 0.15, 1.2
+REFUSED_S = 0.25
+SHARE_OF_MAXCONN = 0.7
+MOST_WIRES = 32
+SHARE_OF_BOUND = 0.6
+
+
+class Backend:
+    """One backend: what its beats say, its wires, and how it has behaved here."""
+
+    __slots__ = (
+        "name", "service", "host", "port", "zone", "region", "phase", "role", "slots", "order", "cold_until",
+        "wires", "idle", "dialing", "backoff", "barred_until", "refused_at", "claimed_at", "closing_at",
+        "tokens", "tokens_at", "dark_since",
+    )
+
+    def __init__(self, name: str, service: str):
+        self.name, self.service = name, service
+        self.order = (-1, -1)
+        self.wires, self.idle, self.dialing = {}, [], 0
+        self.backoff = self.barred_until = 0.0
+        self.refused_at = -1e9
+        self.claimed_at = -1e9
+        self.closing_at = None
+        self.tokens, self.tokens_at = 1.0, 0.0
+        self.role, self.phase = "replica", "up"
+        self.cold_until = 0.0
+        self.dark_since = None
+
+
+class Ground:
+    """One service: its backends, rotation and anchors."""
+
+    __slots__ = ("name", "backends", "rotation", "anchors", "seeking", "swept_at", "lead_seen", "lead_name")
+
+    def __init__(self, name: str, health):
+        self.name = name
+        self.backends = {}
+        self.rotation = Rotation(health)
+        self.anchors = Anchors()
+        self.seeking = None
+        self.swept_at = -1e9
+        self.lead_seen, self.lead_name = ORIGIN, ""
+
+
+class Yard:
+    """All services and backends, as one counter sees them."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.grounds = {}
+        self.backends = {}
+        self.evacuated = {}
+        self.services = {}
+        self.members = 1
+        self.next_key = 1
+
+    def ground(self, service: str) -> Ground:
+        """The service's ground, made when first asked for.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).ground("svc").name
+        'svc'
+        """
+        if service not in self.grounds:
+            self.grounds[service] = Ground(service, self.settings.health)
+        return self.grounds[service]
+
+    def take_record(self, record, now: float) -> list[Wire]:
+        """Takes a backend's record from the news; gives the wires to shut if it is gone.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).take_record(None, 0.0)
+        []
+        """
+        if record is None:
+            return []
+        backend = self.backends.get(record.name)
+        if backend and record.order <= backend.order:
+            return []
+        if record.phase == "gone":
+            return self.remove(record.name)
+        address = split_address(record.address)
+        if address is None:
+            return []
+        doomed = []
+        if backend and (backend.host, backend.port) != address:
+            doomed = self.remove(record.name)
+            backend = None
+        if backend is None:
+            backend = self.backends[record.name] = Backend(record.name, record.service)
+            self.ground(record.service).backends[record.name] = backend
+        was = backend.role
+        backend.host, backend.port = address
+        backend.zone, backend.region = record.zone, self.settings.zones.get(record.zone, record.zone)
+        backend.slots, backend.order = record.slots, record.order
+        backend.role = record.role
+        if record.role == "primary" and was != "primary":
+            backend.claimed_at = now
+            self.ground(record.service).rotation.forget(backend.name)
+        if record.phase != backend.phase:
+            backend.phase = record.phase
+            backend.closing_at = now + self.settings.bounds.drain_ms / 1000 * SHARE_OF_BOUND
+            scribe.say("the backend %s is %s", backend.name, record.phase)
+        backend.cold_until = now + record.cold_ms / 1000
+        return doomed
+
+    def remove(self, name: str) -> list[Wire]:
+        """Forgets a backend; gives its wires to shut.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).remove("i-1")
+        []
+        """
+        backend = self.backends.pop(name, None)
+        if backend is None:
+            return []
+        scribe.say("the backend %s is gone", name)
+        ground = self.ground(backend.service)
+        ground.backends.pop(name, None)
+        ground.rotation.forget(name)
+        return list(backend.wires.values())
+
+    def take_evacuations(self, zones: list[str], now: float) -> None:
+        """Takes the zones to be kept empty.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.take_evacuations(["a"], 1.0)
+        >>> yard.evacuated
+        {'a': 1.0}
+        """
+        self.evacuated = {zone: self.evacuated.get(zone, now) for zone in zones}
+
+    def closed_to_new(self, backend: Backend, now: float) -> bool:
+        """Whether even the lead must get nothing more, its zone or itself being emptied.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); backend = Backend("i-1", "svc")
+        >>> backend.zone = "z"; yard.closed_to_new(backend, 0.0)
+        False
+        """
+        since = self.evacuated.get(backend.zone)
+        evac_s = self.settings.bounds.evac_ms / 1000 * SHARE_OF_BOUND
+        return (since is not None and now >= since + evac_s) or (
+            backend.phase != "up" and now >= backend.closing_at)
+
+    def at_home(self, backend: Backend, rule) -> bool:
+        """Whether the route's homes admit the backend's region.
+
+        >>> backend = Backend("i-1", "svc"); backend.region = "sul"
+        >>> from sumacloom.counter.rules import Rule
+        >>> rule = Rule("r", "svc", "self", 1, 1, 1, 0, frozenset({"norte"}), {})
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).at_home(backend, rule)
+        False
+        """
+        return not (rule and rule.homes) or backend.region in rule.homes
+
+    def warm_enough(self, backend: Backend, now: float) -> bool:
+        """Whether the cold budget, shared out among the members, admits one more send; it is spent by asking.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.warm_enough(Backend("i-1", "svc"), 0.0)
+        True
+        """
+        service = self.services.get(backend.service)
+        if now >= backend.cold_until or service is None or service.cold_per_s <= 0:
+            return True
+        rate = service.cold_per_s / max(1, self.members)
+        backend.tokens = min(1.0, backend.tokens + (now - backend.tokens_at) * rate)
+        backend.tokens_at = now
+        if backend.tokens < 1.0:
+            return False
+        backend.tokens -= 1.0
+        return True
+
+    def lead_candidates(self, ground: Ground, rule, now: float) -> list[Backend]:
+        """The backends that may lead, the newest claim first.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.lead_candidates(yard.ground("s"), None, 0.0)
+        []
+        """
+        return sorted(
+            (backend for backend in ground.backends.values()
+             if backend.claimed_at > -1e9 and backend.role == "primary"
+             and now >= backend.refused_at + REFUSED_S and now >= backend.barred_until
+             and not self.closed_to_new(backend, now) and self.at_home(backend, rule)),
+            key=lambda backend: -backend.claimed_at)
+
+    def draw_rotation(self, ground: Ground, rule, needed: Position, now: float) -> list[Backend]:
+        """The replicas that may serve a read: the freshest first, and among equals the nearest.
+
+        Replicas inside the band count as equally fresh, unless one is known to hold the needed
+        position and another is known to lack it.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.draw_rotation(yard.ground("s"), None, ORIGIN, 0.0)
+        []
+        """
+        soft, _hard = ground.rotation.bands()
+        ranked = []
+        for replica in ground.rotation.inside():
+            backend = ground.backends.get(replica.name)
+            if (backend is None or backend.role == "primary" or backend.phase != "up"
+                    or backend.zone in self.evacuated or now < backend.barred_until
+                    or not self.at_home(backend, rule)):
+                continue
+            far = (backend.region != self.settings.region) + (backend.zone != self.settings.zone)
+            lacks = replica.position < needed and replica.lag > 0
+            busy = len(backend.wires) - len(backend.idle)
+            crowded = busy >= max(1, backend.slots)
+            ranked.append((lacks, replica.lag > soft, crowded, far, busy, -replica.position.number, backend.name, backend))
+        ranked.sort()
+        return [entry[-1] for entry in ranked]
+
+    def cap(self, backend: Backend) -> int:
+        """How many wires this counter may hold to the backend.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.cap(Backend("i-1", "svc"))
+        22
+        """
+        service = self.services.get(backend.service)
+        most = service.maxconn if service else 32
+        return max(1, min(MOST_WIRES, int(most * SHARE_OF_MAXCONN / max(1, self.members))))
+
+    def take_wire(self, backend: Backend, values: dict, prepared) -> Wire | None:
+        """An idle wire, one that fits the session before one that needs a RESET.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).take_wire(Backend("i-1", "svc"), {}, None) is None
+        True
+        """
+        best = None
+        for wire in reversed(backend.idle):
+            rank = (wire.fits(values), prepared is None or prepared in wire.names, len(wire.values) == len(values))
+            if best is None or rank > best[0]:
+                best = (rank, wire)
+            if rank == (True, True, True):
+                break
+        if best is None:
+            return None
+        backend.idle.remove(best[1])
+        return best[1]
+
+    def new_wire(self, backend: Backend, now: float) -> Wire | None:
+        """A wire to dial, if the cap and the backoff admit one.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); backend = Backend("i-1", "svc"); backend.zone = "z"
+        >>> yard.new_wire(backend, 0.0).backend
+        'i-1'
+        """
+        if now < backend.barred_until or len(backend.wires) >= self.cap(backend) or self.closed_to_new(backend, now):
+            return None
+        wire = Wire(self.next_key, backend.name, backend.service, now)
+        self.next_key += 1
+        backend.wires[wire.key] = wire
+        backend.dialing += 1
+        return wire
+
+    def prove_lead(self, backend: Backend, asked_at: float, position: Position | None, now: float) -> None:
+        """A success that only a leader can give.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); backend = Backend("i-1", "s")
+        >>> yard.prove_lead(backend, 1.0, Position(3, 4), 1.0); yard.ground("s").lead_name
+        'i-1'
+        """
+        ground = self.ground(backend.service)
+        backend.claimed_at = max(backend.claimed_at, asked_at)
+        backend.role = "primary"
+        if ground.lead_name != backend.name and position and position >= ground.lead_seen:
+            ground.lead_name = backend.name
+            ground.rotation.forget(backend.name)
+            scribe.say("the backend %s leads %s in term %d", backend.name, backend.service, position.term)
+        if position:
+            ground.lead_seen = max(ground.lead_seen, position)
+            ground.anchors.note(asked_at, position)
+
+    def note_refusal(self, backend: Backend, now: float) -> None:
+        """The backend said RO: it does not lead.
+
+        >>> backend = Backend("i-1", "s"); Yard(Settings("n", "r", "10.0.0.1", "z")).note_refusal(backend, 4.0)
+        >>> backend.refused_at
+        4.0
+        """
+        backend.refused_at = now
+
+    def note_mishap(self, backend: Backend, now: float) -> None:
+        """A wire of the backend was refused, cut or went silent: it rests for a growing while.
+
+        >>> backend = Backend("i-1", "s"); Yard(Settings("n", "r", "10.0.0.1", "z")).note_mishap(backend, 4.0)
+        >>> backend.barred_until
+        4.15
+        """
+        if now < backend.barred_until:
+            return
+        backend.backoff = min(MOST_BACKOFF_S, backend.backoff * 2 or BACKOFF_S)
+        backend.barred_until = now + backend.backoff
+        if backend.dark_since is None:
+            backend.dark_since = now
+            scribe.say("the backend %s can't be reached", backend.name)
+        self.ground(backend.service).rotation.silent(backend.name, now)
+
+    def note_well(self, backend: Backend) -> None:
+        """A wire of the backend came up or answered.
+
+        >>> backend = Backend("i-1", "s"); Yard(Settings("n", "r", "10.0.0.1", "z")).note_well(backend)
+        """
+        if backend.dark_since is not None:
+            scribe.say("the backend %s can be reached again", backend.name)
+        backend.dark_since = None
+        backend.backoff = 0.0
+        backend.barred_until = 0.0
--- /dev/null
+++ b/sumacloom/courier/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons and the links that carry them."""
--- /dev/null
+++ b/sumacloom/courier/board.py
@@ -0,0 +1,84 @@
+"""The news a daemon holds and passes on; none of it ever moves back within a process life."""
+from ..common.blueprint import Blueprint, decode_blueprint
+from .messages import Digest, News, Record, digest_records
+
+
+class Board:
+    """Blueprint, evacuations and backend records, with their generations.
+
+    >>> board = Board(); board.take(News(b'{"ver": 3}', 1, ["z"], []))
+    True
+    >>> board.digest()
+    Digest(blueprint=3, evacuations=1, records=0)
+    """
+
+    def __init__(self):
+        self.blueprint: Blueprint | None = None
+        self.raw = b""
+        self.evacuations = 0
+        self.zones: list[str] = []
+        self.records: dict[str, Record] = {}
+        self.known_digest = 0
+
+    def digest(self) -> Digest:
+        """What this board holds.
+
+        >>> Board().digest()
+        Digest(blueprint=0, evacuations=0, records=0)
+        """
+        return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest)
+
+    def take(self, news: News) -> bool:
+        """Takes what is newer; tells whether anything was.
+
+        >>> board = Board(); board.take(News(None, 2, ["z"], None)), board.take(News(None, 1, [], None))
+        (True, False)
+        """
+        changed = False
+        if news.blueprint is not None:
+            blueprint = decode_blueprint(news.blueprint)
+            if self.blueprint is None or blueprint.ver > self.blueprint.ver:
+                self.blueprint, self.raw, changed = blueprint, news.blueprint, True
+        if news.zones is not None and news.evacuations > self.evacuations:
+            self.evacuations, self.zones, changed = news.evacuations, news.zones, True
+        newer = [record for record in news.records or () if self.newer(record)]
+        if newer:
+            self.records.update((record.name, record) for record in newer)
+            self.known_digest = digest_records(self.records.values())
+            changed = True
+        return changed
+
+    def newer(self, record: Record) -> bool:
+        """Whether a record is newer than the one held.
+
+        >>> Board().newer(Record("i", "s", "a", "z"))
+        True
+        """
+        held = self.records.get(record.name)
+        return held is None or record.order > held.order
+
+    def forget(self, names) -> None:
+        """Drops records whose time is up.
+
+        >>> Board().forget(["i"])
+        """
+        for name in names:
+            self.records.pop(name, None)
+        self.known_digest = digest_records(self.records.values())
+
+    def news_for(self, held: Digest) -> News | None:
+        """What a daemon with that digest lacks; None if nothing.
+
+        >>> Board().news_for(Digest()) is None
+        True
+        """
+        mine = self.digest()
+        if held == mine:
+            return None
+        news = News(
+            self.raw if mine.blueprint > held.blueprint else None,
+            mine.evacuations,
+            self.zones if mine.evacuations > held.evacuations else None,
+            list(self.records.values()) if mine.records != held.records else None,
+        )
+        return news if news.blueprint or news.zones is not None or news.records else None
--- /dev/null
+++ b/sumacloom/courier/messages.py
@@ -0,0 +1,242 @@
+"""What daemons say to one another, as msgspec structures."""
+import zlib
+
+import msgspec
+
+from ..common.types import Ballot
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """What is known of one backend; (life, seq) orders what is known.
+
+    >>> Record("i-1", "svc", "10.0.0.9:80", "z").phase
+    'up'
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    phase: str = "up"            # up draining gone
+    role: str = "replica"
+    cold_ms: float = 0
+    life: int = 0
+    seq: int = 0
+
+    @property
+    def order(self) -> tuple:
+        """What makes one record newer than another.
+
+        >>> Record("i", "s", "a", "z", life=1).order > Record("i", "s", "a", "z", seq=9).order
+        True
+        """
+        return (self.life, self.seq)
+
+
+class Digest(msgspec.Struct, array_like=True, frozen=True):
+    """What news a daemon holds.
+
+    >>> Digest(3, 1, 77) == Digest(3, 1, 77)
+    True
+    """
+
+    blueprint: int = 0
+    evacuations: int = 0
+    records: int = 0
+
+
+class Message(msgspec.Struct, array_like=True, tag=True):
+    pass
+
+
+class Hello(Message):
+    node: str
+    role: str
+    zone: str
+    address: str                 # where this daemon takes links
+    ip: str = ""
+
+
+class MemberBeat(Message):
+    """A counter's heartbeat; `report` is its own state for the admin API, sent when asked for."""
+
+    digest: Digest
+    mishaps: list[str] = []
+    report: dict | None = None
+    leaving: bool = False
+
+
+class RegistrarBeat(Message):
+    """A registrar's heartbeat to a counter: news it holds, members, where to take news from."""
+
+    digest: Digest
+    members: int
+    parent: str
+    registrars: list[str]
+    want_report: bool = False
+    log_level: str = ""
+
+
+class Follow(Message):
+    """A child tells its parent what it holds; the parent sends what is newer, now and later."""
+
+    digest: Digest
+
+
+class News(Message):
+    """Only what the receiver lacks."""
+
+    blueprint: bytes | None
+    evacuations: int
+    zones: list[str] | None
+    records: list[Record] | None
+
+
+class PeerBeat(Message):
+    """Between registrars: what is decided, who is in session, which backends were heard."""
+
+    decided: dict[str, Ballot]
+    sessions: list[tuple[str, str, str]]     # node, zone, address
+    heard: dict[str, float]                  # backend: ms since its last beat here
+    dark: dict[str, float]                   # backend: ms since probes first failed here
+    hears: list[str]
+    records: list[Record] | None
+    digest: int                              # of the records held
+    learned: bool
+    suspects: list[str] = []
+
+
+class Prepare(Message):
+    key: str
+    ballot: Ballot
+    known: Ballot
+
+
+class Promise(Message):
+    key: str
+    ballot: Ballot
+    accepted: Ballot
+    value: bytes | None          # None: nothing accepted, or what the asker knows
+    incarnation: int
+
+
+class Accept(Message):
+    key: str
+    ballot: Ballot
+    value: bytes
+    incarnation: int
+
+
+class Accepted(Message):
+    key: str
+    ballot: Ballot
+
+
+class Refused(Message):
+    key: str
+    ballot: Ballot
+    promised: Ballot
+
+
+class Query(Message):
+    key: str
+    ballot: Ballot               # names the reading
+    known: Ballot
+
+
+class Copy(Message):
+    key: str
+    ballot: Ballot               # of the reading
+    accepted: Ballot
+    value: bytes | None
+
+
+class Decided(Message):
+    key: str
+    ballot: Ballot
+
+
+class Fetch(Message):
+    """Asks for a decided value."""
+
+    key: str
+
+
+class Settled(Message):
+    """A decided value."""
+
+    key: str
+    ballot: Ballot
+    value: bytes
+
+
+class Tell(Message):
+    """A voter that lost its disk asks for everything."""
+
+
+class Told(Message):
+    voters: list[str]
+    slots: list[tuple[str, Ballot, Ballot, bytes | None]]
+
+
+KINDS = (Hello, MemberBeat, RegistrarBeat, Follow, News, PeerBeat, Prepare, Promise, Accept, Accepted, Refused,
+         Query, Copy, Decided, Fetch, Settled, Tell, Told)
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Hello | MemberBeat | RegistrarBeat | Follow | News | PeerBeat | Prepare | Promise
+                                  | Accept | Accepted | Refused | Query | Copy | Decided | Fetch | Settled | Tell | Told)
+MOST_FRAME = 16 << 20
+
+
+def frame(message) -> bytes:
+    """A message with its length before it.
+
+    >>> frame(Tell())[:4]
+    b'\\x00\\x00\\x00\\x06'
+    """
+    body = ENCODER.encode(message)
+    return len(body).to_bytes(4, "big") + body
+
+
+class Unframer:
+    """Cuts bytes into messages; garbage raises ValueError.
+
+    >>> unframer = Unframer(); unframer.feed(frame(Tell()) + b"\\0")
+    [Tell()]
+    """
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list:
+        """Takes bytes, gives whole messages.
+
+        >>> Unframer().feed(frame(Fetch("blueprint")))
+        [Fetch(key='blueprint')]
+        """
+        data = self.rest + data
+        messages, at = [], 0
+        while len(data) - at >= 4:
+            size = int.from_bytes(data[at:at + 4], "big")
+            if size > MOST_FRAME:
+                raise ValueError("a frame is too large")
+            if len(data) - at - 4 < size:
+                break
+            try:
+                messages.append(DECODER.decode(data[at + 4:at + 4 + size]))
+            except msgspec.MsgspecError as error:
+                raise ValueError(f"a frame can't be read: {error}") from error
+            at += 4 + size
+        self.rest = data[at:]
+        return messages
+
+
+def digest_records(records) -> int:
+    """A short digest of the backends that are there; those gone don't count.
+
+    >>> digest_records([])
+    0
+    """
+    live = (record for record in records if record.phase != "gone")
+    text = "|".join(sorted(f"{record.name}:{record.life}:{record.seq}" for record in live))
+    return zlib.crc32(text.encode())
--- /dev/null
+++ b/sumacloom/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The log on disk: segments with captures beside them."""
--- /dev/null
+++ b/sumacloom/registrar/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: registers, members, backends, duties, admin API."""
--- /dev/null
+++ b/sumacloom/registrar/ctl.py
@@ -0,0 +1,136 @@
+"""What a registrar serves at `ctl`: beats, blueprints, evacuations, and the admin API."""
+import re
+
+from ..common.http import Reply, Request, json_reply, mishap_reply
+from ..common.results import mishap
+from .check import check_blueprint
+from .values import BlueprintValue, decode, evacuate, keep, put_blueprint
+
+PATHS = []
+
+
+def serves(method: str, pattern: str):
+    """Registers the handler of a method at paths of a pattern.
+
+    >>> any(method == "PUT" for method, _pattern, _handler in PATHS)
+    True
+    """
+    def register(function):
+        PATHS.append((method, re.compile(pattern + "$"), function))
+        return function
+    return register
+
+
+async def handle(shell, request: Request) -> Reply:
+    """Finds the handler of a request; unknown paths and wrong methods get their statuses.
+
+    >>> handle.__name__
+    'handle'
+    """
+    path, _mark, _query = request.path.partition("?")
+    matches = [(method, pattern.match(path), handler) for method, pattern, handler in PATHS if pattern.match(path)]
+    for method, match, handler in matches:
+        if method == request.method:
+            return await handler(shell, request, *match.groups())
+    return mishap_reply(mishap("wrong_method" if matches else "no_route"))
+
+
+@serves("PUT", r"/api/instances/([^/]+)")
+async def put_instance(shell, request: Request, name: str) -> Reply:
+    """A backend's beat.
+
+    >>> put_instance.__name__
+    'put_instance'
+    """
+    result = shell.office.roster.beat(name, request.body, shell.now())
+    if result.is_err():
+        return mishap_reply(result.err())
+    if result.ok():
+        shell.office.tell_records([result.ok()], shell.now())
+        await shell.act()
+    return Reply(200, b"{}")
+
+
+@serves("DELETE", r"/api/instances/([^/]+)")
+async def delete_instance(shell, request: Request, name: str) -> Reply:
+    """A backend leaves.
+
+    >>> delete_instance.__name__
+    'delete_instance'
+    """
+    record = shell.office.roster.leave(name, shell.now())
+    if record:
+        shell.office.tell_records([record], shell.now())
+        await shell.act()
+    return Reply(200, b"{}")
+
+
+@serves("PUT", r"/api/config")
+async def put_config(shell, request: Request) -> Reply:
+    """The operator's blueprint: checked here, decided at a majority.
+
+    >>> put_config.__name__
+    'put_config'
+    """
+    if len(request.body) > shell.most_blueprint:
+        return mishap_reply(mishap("too_large"))
+    checked = check_blueprint(request.body)
+    if checked.is_err():
+        return mishap_reply(checked.err())
+    base = request.headers.get("if-match", "").strip().strip('"')
+    if not base.isdigit():
+        return mishap_reply(mishap("match_missing"))
+    result = await shell.decide("blueprint", put_blueprint(checked.ok().ver, request.body, int(base)))
+    if result.is_err():
+        return mishap_reply(result.err())
+    return json_reply(200, {"ver": checked.ok().ver})
+
+
+@serves("GET", r"/api/config")
+async def get_config(shell, request: Request) -> Reply:
+    """The newest blueprint, whole, as a majority holds it.
+
+    >>> get_config.__name__
+    'get_config'
+    """
+    result = await shell.decide("blueprint", keep, reading=True)
+    if result.is_err():
+        return mishap_reply(result.err())
+    found = decode(BlueprintValue, result.ok()[1])
+    if found is None:
+        return mishap_reply(mishap("no_route", "no blueprint has been taken yet"))
+    return Reply(200, found.raw, (("ETag", f'"{found.ver}"'),))
+
+
+async def order_evacuation(shell, zone: str, wanted: bool) -> Reply:
+    """Empties a zone or takes it back; acknowledged once decided.
+
+    >>> order_evacuation.__name__
+    'order_evacuation'
+    """
+    if zone not in shell.settings.zones:
+        return mishap_reply(mishap("unknown_zone", f"there is no zone '{zone}'"))
+    result = await shell.decide("evacuations", evacuate(zone, wanted))
+    if result.is_err():
+        return mishap_reply(result.err())
+    return json_reply(200, {"zone": zone, "evacuated": wanted})
+
+
+@serves("POST", r"/api/drain/([^/]+)")
+async def post_drain(shell, request: Request, zone: str) -> Reply:
+    """Nothing more is to be sent to the zone's backends.
+
+    >>> post_drain.__name__
+    'post_drain'
+    """
+    return await order_evacuation(shell, zone, True)
+
+
+@serves("DELETE", r"/api/drain/([^/]+)")
+async def delete_drain(shell, request: Request, zone: str) -> Reply:
+    """The zone's backends may be used again.
+
+    >>> delete_drain.__name__
+    'delete_drain'
+    """
+    return await order_evacuation(shell, zone, False)
--- /dev/null
+++ b/sumacloom/registrar/duties.py
@@ -0,0 +1,76 @@
+"""The failover duty: won by ballots on its register when it falls vacant."""
+from ..common.logs import Scribe
+from ..common.results import Err, Ok, mishap
+from .values import DutyValue, claim_duty, decode, encode
+
+scribe = Scribe("duties")
+DUTY = "duty/failover"
+WARM_UP_S = 1.1
+STAGGER_S = 0.3
+
+
+def vacant(office, now: float) -> bool:
+    """Whether the duty has nobody: no holder yet, an earlier life of ours, or one a majority can't hear.
+
+    >>> vacant.__name__
+    'vacant'
+    """
+    duty, majority = office.duty, len(office.acceptor.voters) // 2 + 1
+    living = [peer for peer in office.acceptor.voters if office.alive(peer, now)]
+    if len(living) < majority or now - office.started_at < WARM_UP_S:
+        return False
+    if duty is None or not duty.holder:
+        return True
+    if duty.holder == office.me:
+        return duty.nonce != office.nonce
+    if office.alive(duty.holder, now):
+        return False
+    deaf = [peer for peer in living if peer == office.me or duty.holder not in office.peers[peer][1].hears]
+    return len(deaf) >= majority
+
+
+def mind_duty(office, now: float) -> None:
+    """Stands for the duty when it falls vacant, the registrars one after the other.
+
+    >>> mind_duty.__name__
+    'mind_duty'
+    """
+    if not vacant(office, now) or now < office.unfit_until:
+        office.duty_vacant_since = None
+        return
+    if office.duty_vacant_since is None:
+        office.duty_vacant_since = now
+    holder = office.duty.holder if office.duty else ""
+    line = [peer for peer in office.acceptor.voters if office.alive(peer, now) and peer != holder]
+    place = 0 if holder == office.me else line.index(office.me)
+    busy = any(proposal.key == DUTY for proposal in office.proposals)
+    if not busy and now - office.duty_vacant_since >= STAGGER_S * place:
+        office.propose(DUTY, claim_duty(office.me, office.nonce, office.duty), now)
+
+
+def holds_duty(office, now: float) -> bool:
+    """Whether this registrar may act; any doubt says no.
+
+    >>> holds_duty.__name__
+    'holds_duty'
+    """
+    living = [peer for peer in office.acceptor.voters if office.alive(peer, now)]
+    return (office.duty is not None and office.duty.holder == office.me and office.duty.nonce == office.nonce
+            and len(living) > len(office.acceptor.voters) // 2 and office.votes)
+
+
+def give_up_duty(office, now: float, rest_s: float = 6.0) -> None:
+    """Lays the duty down because the platform can't be reached from here.
+
+    >>> give_up_duty.__name__
+    'give_up_duty'
+    """
+    mine = office.duty
+    office.unfit_until = now + rest_s
+    scribe.warn("the platform can't be reached from here: laying the failover duty down")
+
+    def change(current):
+        if decode(DutyValue, current) != mine:
+            return Err(mishap("stale_match"))
+        return Ok(encode(DutyValue("", mine.fence, 0)))
+    office.propose(DUTY, change, now)
--- /dev/null
+++ b/sumacloom/registrar/errands.py
@@ -0,0 +1,125 @@
+"""Runs the commands of plans: texts for backends over a wire of their own, calls to the platform."""
+import curio
+
+from ..common.http import call
+from ..common.lines import LineSplitter, encode
+from ..common.logs import Scribe
+from ..common.settings import split_address
+from ..courier.links import dial
+from .failover import Ask, Promote, Rest, Row, read_row
+
+scribe = Scribe("failover")
+ASK_CUTOFF_S = 0.7
+PROMOTE_CUTOFF_S = 2.5
+
+RUNNERS = {}
+
+
+def runs(kind):
+    """Registers what runs commands of a kind.
+
+    >>> Ask in RUNNERS
+    True
+    """
+    def register(function):
+        RUNNERS[kind] = function
+        return function
+    return register
+
+
+@runs(Ask)
+async def run_ask(shell, command: Ask) -> Row | str | None:
+    """One text for one backend: its row, an error code, or None for silence.
+
+    >>> RUNNERS[Ask] is run_ask
+    True
+    """
+    address = split_address(command.backend.address)
+    try:
+        async with curio.timeout_after(ASK_CUTOFF_S):
+            sock = await dial(*address)
+            async with sock:
+                splitter = LineSplitter()
+                await sock.sendall(encode(
+                    f"LOGIN {command.backend.service} {shell.settings.node} {command.backend.name}"))
+                line = (await read_lines(sock, splitter, ("READY", "ERR")))[-1]
+                if line.startswith("ERR"):
+                    return line.split(" ")[1]
+                await sock.sendall(encode(f"QUERY - {command.text}"))
+                lines = await read_lines(sock, splitter, ("DONE", "ERR"))
+                await sock.sendall(encode("QUIT"))
+    except (OSError, curio.TaskTimeout, IndexError):
+        return None
+    if lines[-1].startswith("ERR"):
+        return lines[-1].split(" ")[1]
+    rows = [read_row(line[4:]) for line in lines if line.startswith("ROW ")]
+    return rows[0] if rows else None
+
+
+async def read_lines(sock, splitter: LineSplitter, ends: tuple) -> list[str]:
+    """Reads lines up to one that starts with a word of `ends`.
+
+    >>> read_lines.__name__
+    'read_lines'
+    """
+    lines = []
+    while not any(line.split(" ")[0] in ends for line in lines):
+        data = await sock.recv(65536)
+        if not data:
+            raise OSError("the backend closed the wire")
+        lines += splitter.feed(data)
+    return [line for line in lines if line.split(" ")[0] in (*ends, "ROW")]
+
+
+@runs(Promote)
+async def run_promote(shell, command: Promote) -> int:
+    """Tells the platform which backend takes over; the status, or 0 for silence.
+
+    >>> RUNNERS[Promote] is run_promote
+    True
+    """
+    address = split_address(shell.settings.cloud.addr)
+    duty = shell.office.duty
+    headers = (("X-Holder", shell.settings.node), ("X-Fence", str(duty.fence)))
+    body = b'{"svc":"%s","id":"%s"}' % (command.service.encode(), command.backend.encode())
+    path = "/promote"
+    status, _headers, _body = await call(dial, address, "POST", path, body, headers, PROMOTE_CUTOFF_S)
+    scribe.say("the platform answered %d to the promotion of %s for %s", status, command.backend, command.service)
+    return status
+
+
+@runs(Rest)
+async def run_rest(shell, command: Rest) -> None:
+    """A pause.
+
+    >>> RUNNERS[Rest] is run_rest
+    True
+    """
+    await curio.sleep(command.seconds)
+
+
+async def run_batch(shell, commands: list) -> dict:
+    """Runs commands side by side; gives each one's outcome.
+
+    >>> run_batch.__name__
+    'run_batch'
+    """
+    tasks = [(command, await curio.spawn(RUNNERS[type(command)], shell, command)) for command in commands]
+    return {command: await task.join() for command, task in tasks}
+
+
+async def run_plan(shell, plan):
+    """Walks a plan to its end; gives what it returns. Stops if the duty is lost.
+
+    >>> run_plan.__name__
+    'run_plan'
+    """
+    try:
+        commands = next(plan)
+        while True:
+            if not shell.may_act():
+                plan.close()
+                return None
+            commands = plan.send(await run_batch(shell, commands))
+    except StopIteration as end:
+        return end.value
--- /dev/null
+++ b/sumacloom/registrar/failover.py
@@ -0,0 +1,200 @@
+"""Replacing a primary: plans as generators that yield batches of commands and are sent their results.
+
+A plan touches no socket: it yields a list of commands (Ask, Promote, Rest) and receives a dict
+from command to outcome. So every schedule of lost answers can be played as a table.
+"""
+from typing import NamedTuple
+
+from ..common.types import Position, read_position
+from ..courier.messages import Record
+
+CATCH_UP_TRIES = 40
+PROMOTE_TRIES = 8
+
+
+class Ask(NamedTuple):
+    """A text for a backend; its outcome is a Row, an error code, or None for silence."""
+
+    backend: Record
+    text: str
+
+
+class Promote(NamedTuple):
+    """A call to the platform; its outcome is the HTTP status, or 0 for silence."""
+
+    service: str
+    backend: str
+
+
+class Rest(NamedTuple):
+    """A pause in seconds."""
+
+    seconds: float
+
+
+class Row(NamedTuple):
+    """The row that STAT, PAUSE, CONT and STEPDOWN answer with.
+
+    >>> read_row("replica 3 3.1209 0 12 2 17").position
+    Position(term=3, number=1209)
+    """
+
+    role: str
+    term: int
+    position: Position
+    held: int
+    lag_ms: float
+
+
+def read_row(text: str) -> Row | None:
+    """Reads the row; None if it is something else.
+
+    >>> read_row("nonsense") is None
+    True
+    """
+    words = text.split()
+    position = read_position(words[2]) if len(words) >= 7 else None
+    if position is None or not words[1].isdigit():
+        return None
+    held = int(words[3]) if words[3].isdigit() else 0
+    lag = float(words[4]) if words[4].replace(".", "", 1).isdigit() else 0.0
+    return Row(words[0], int(words[1]), position, held, lag)
+
+
+def rows_of(results: dict) -> dict[Record, Row]:
+    """The backends that answered with a row.
+
+    >>> rows_of({})
+    {}
+    """
+    return {ask.backend: row for ask, row in results.items() if isinstance(ask, Ask) and isinstance(row, Row)}
+
+
+def best_of(rows: dict[Record, Row]) -> Record:
+    """The backend with the furthest log; among equals the one that lags least.
+
+    >>> best_of({Record("i", "s", "a", "z"): read_row("replica 3 3.1 0 0 0 0")}).name
+    'i'
+    """
+    return max(rows, key=lambda record: (rows[record].position, -rows[record].lag_ms, record.name))
+
+
+def promote(service: str, target: Record):
+    """Calls the platform until it answers clearly: True if the backend leads.
+
+    >>> plan = promote("s", Record("i", "s", "a", "z")); next(plan)
+    [Promote(service='s', backend='i')]
+    """
+    for number in range(PROMOTE_TRIES):
+        command = Promote(service, target.name)
+        status = (yield [command])[command]
+        if 200 <= status < 300:
+            return True
+        if 400 <= status < 500 and status not in (408, 429):
+            return False
+        yield [Rest(min(1.0, 0.1 * 2 ** number))]
+    return False
+
+
+def replace_dead(service: str, dead: Record | None, replicas: list[Record], sync_acks: int):
+    """The primary is dark: freezes the replicas, draws the furthest, promotes it.
+
+    Gives the name of the backend that leads now, or nothing.
+
+    >>> plan = replace_dead("s", None, [Record("i", "s", "a", "z")], 0)
+    >>> [ask.text for ask in next(plan)]
+    ['STAT']
+    """
+    everyone = replicas + ([dead] if dead else [])
+    rows = rows_of((yield [Ask(backend, "STAT") for backend in everyone]))
+    newest = max((row.term for row in rows.values()), default=0)
+    leading = [backend for backend, row in rows.items() if row.role == "primary" and row.term == newest]
+    if leading:
+        return leading[0].name
+    rows = {backend: row for backend, row in rows.items() if backend in replicas}
+    if not rows:
+        return ""
+    if sync_acks:
+        paused = yield [Ask(backend, f"PAUSE {newest + 1}") for backend in rows]
+        rows = rows_of(paused)
+        if not rows or len(replicas) - len(rows) >= sync_acks:
+            yield [Ask(backend, "CONT") for backend in rows] or [Rest(0.2)]
+            return ""
+    target = best_of(rows)
+    done = yield from promote(service, target)
+    others = [backend for backend in rows if backend is not target]
+    if sync_acks and (others or not done):
+        yield [Ask(backend, "CONT") for backend in (others if done else rows)]
+    return target.name if done else ""
+
+
+def hand_over(service: str, leaver: Record, replicas: list[Record]):
+    """The primary is to go, in order: it steps down, a replica catches up, that one is promoted.
+
+    >>> plan = hand_over("s", Record("p", "s", "a", "z"), [Record("i", "s", "a", "z")])
+    >>> [ask.backend.name for ask in next(plan)]
+    ['i', 'p']
+    """
+    rows = rows_of((yield [Ask(backend, "STAT") for backend in [*replicas, leaver]]))
+    own = rows.pop(leaver, None)
+    leading = [backend for backend, row in rows.items() if row.role == "primary"]
+    if leading:
+        return leading[0].name
+    if not rows:
+        return ""
+    goal = max(row.position for row in rows.values())
+    if own is not None and own.role == "primary":
+        term = max(row.term for row in [own, *rows.values()]) + 1
+        step = Ask(leaver, f"STEPDOWN {term}")
+        row = (yield [step])[step]
+        if not isinstance(row, Row):
+            yield [Rest(0.1)]
+            return ""
+        goal = row.position
+    elif own is not None:
+        goal = max(goal, own.position)
+    for _try in range(CATCH_UP_TRIES):
+        if any(row.position >= goal for row in rows.values()):
+            break
+        yield [Rest(0.02)]
+        rows = rows_of((yield [Ask(backend, "STAT") for backend in replicas])) or rows
+    ready = {backend: row for backend, row in rows.items() if row.position >= goal}
+    target = best_of(ready or rows)
+    done = yield from promote(service, target)
+    return target.name if done else ""
+
+
+def draw_plan(service: str, records: list[Record], zones: list[str], dark_since, sync_acks: int, now: float,
+              dark_s: float, nobody_since: float | None):
+    """The plan that a service needs now, if any: (name, plan).
+
+    >>> primary = Record("p", "s", "a", "z", role="primary")
+    >>> draw_plan("s", [primary, Record("i", "s", "a", "z")], [], lambda name: 0.0, 0, 9.0, 0.5, None)[0]
+    'replace_dead'
+    >>> draw_plan("s", [primary, Record("i", "s", "a", "y")], ["z"], lambda name: None, 0, 9.0, 0.5, None)[0]
+    'hand_over'
+    """
+    there = [record for record in records if record.phase != "gone"]
+    primaries = [record for record in there if record.role == "primary"]
+    replicas = [record for record in there if record.role != "primary"]
+    good = [record for record in replicas if record.phase == "up" and record.zone not in zones] or [
+        record for record in replicas if record.phase == "up"]
+    if not good:
+        return None
+    if not primaries:
+        if nobody_since is None or now - nobody_since < dark_s:
+            return None
+        return "replace_dead", replace_dead(service, None, replicas if sync_acks else good, sync_acks)
+    living = [record for record in primaries if dark_since(record.name) is None]
+    if not living:
+        since = max(dark_since(record.name) for record in primaries)
+        if now - since < dark_s:
+            return None
+        return "replace_dead", replace_dead(service, primaries[0], replicas if sync_acks else good, sync_acks)
+    leaver = living[0]
+    elsewhere = [record for record in good if record.zone not in zones]
+    if len(living) == 1 and leaver.phase == "draining" and good:
+        return "hand_over", hand_over(service, leaver, good)
+    if len(living) == 1 and leaver.zone in zones and elsewhere:
+        return "hand_over", hand_over(service, leaver, elsewhere)
+    return None
--- /dev/null
+++ b/sumacloom/registrar/hearing.py
@@ -0,0 +1,138 @@
+"""What a registrar does with each message of its peers."""
+import msgspec
+
+from ..common.logs import Scribe
+from ..common.types import NO_BALLOT, Ballot
+from ..courier.messages import (Accept, Accepted, Copy, Decided, Fetch, PeerBeat, Prepare, Promise, Query, Refused,
+                                Settled, Tell, Told)
+from .register import Slot
+
+scribe = Scribe("office")
+HEARERS = {}
+
+
+def hears(*kinds):
+    """Registers the handler of peers' messages of these kinds.
+
+    >>> Tell in HEARERS
+    True
+    """
+    def register(function):
+        HEARERS.update(dict.fromkeys(kinds, function))
+        return function
+    return register
+
+
+@hears(Prepare, Accept, Query)
+def hear_proposal(office, peer: str, message, now: float) -> None:
+    """A proposal of a peer asks for our vote.
+
+    >>> HEARERS[Accept] is hear_proposal
+    True
+    """
+    if not isinstance(message, Query):
+        office.ballots.saw(message.ballot)
+    office.outbox.extend((peer, reply) for reply in office.vote(message))
+
+
+@hears(Promise, Accepted, Refused, Copy)
+def hear_vote(office, peer: str, message, now: float) -> None:
+    """A vote on one of our proposals.
+
+    >>> HEARERS[Promise] is hear_vote
+    True
+    """
+    for proposal in [proposal for proposal in office.proposals if proposal.key == message.key]:
+        office.post(proposal.hear(peer, message, now), now)
+        office.conclude(proposal, now)
+
+
+@hears(Decided)
+def hear_decided(office, peer: str, message, now: float) -> None:
+    """A peer knows a value to be decided; it is taken from our own copy, or asked for.
+
+    >>> HEARERS[Decided] is hear_decided
+    True
+    """
+    slot = office.acceptor.slots.get(message.key, Slot())
+    if slot.accepted == message.ballot:
+        office.settle(message.key, message.ballot, slot.value, now)
+    elif message.ballot > office.decided.get(message.key, (NO_BALLOT,))[0]:
+        office.outbox.append((peer, Fetch(message.key)))
+
+
+@hears(Fetch)
+def hear_fetch(office, peer: str, message, now: float) -> None:
+    """A peer lacks a decided value.
+
+    >>> HEARERS[Fetch] is hear_fetch
+    True
+    """
+    if message.key in office.decided:
+        office.outbox.append((peer, Settled(message.key, *office.decided[message.key])))
+
+
+@hears(Settled)
+def hear_settled(office, peer: str, message, now: float) -> None:
+    """A decided value that we lacked.
+
+    >>> HEARERS[Settled] is hear_settled
+    True
+    """
+    office.settle(message.key, message.ballot, message.value, now)
+
+
+@hears(Tell)
+def hear_tell(office, peer: str, message, now: float) -> None:
+    """A voter that lost its disk asks for everything.
+
+    >>> HEARERS[Tell] is hear_tell
+    True
+    """
+    told = office.acceptor.tell()
+    if told:
+        office.outbox.append((peer, told))
+
+
+@hears(Told)
+def hear_told(office, peer: str, message, now: float) -> None:
+    """What another voter holds; with enough of them we vote again, as a new incarnation.
+
+    >>> HEARERS[Told] is hear_told
+    True
+    """
+    acceptor = office.acceptor
+    if acceptor.learned:
+        return
+    acceptor.voters = message.voters
+    office.tales[peer] = message
+    keys = acceptor.learn(office.tales)
+    if keys is None:
+        return
+    acceptor.incarnation = office.random.getrandbits(48)
+    for slot in acceptor.slots.values():
+        office.ballots.saw(slot.promised)
+    # the meta record comes last: whoever finds it finds all slots before it
+    office.ledger.append([*(msgspec.msgpack.encode(("slot", key, *acceptor.slots[key])) for key in keys),
+                          office.meta(acceptor)])
+    scribe.say("learned all that %d voters held; voting again", len(office.tales))
+
+
+@hears(PeerBeat)
+def hear_peer_beat(office, peer: str, message, now: float) -> None:
+    """A peer's heartbeat.
+
+    >>> HEARERS[PeerBeat] is hear_peer_beat
+    True
+    """
+    if not office.alive(peer, now):
+        scribe.say("the registrar %s is heard", peer)
+    office.peers[peer] = (now, message)
+    office.roster.hear_peer(peer, message, now)
+    if message.records:
+        office.tell_records(office.roster.take_records(message.records, now), now)
+    elif message.digest != office.board.known_digest and office.board.records:
+        office.outbox.append((peer, office.peer_beat(now, list(office.board.records.values()))))
+    for key, ballot in message.decided.items():
+        if Ballot(*ballot) > office.decided.get(key, (NO_BALLOT,))[0]:
+            hear_decided(office, peer, Decided(key, Ballot(*ballot)), now)
--- /dev/null
+++ b/sumacloom/registrar/roster.py
@@ -0,0 +1,263 @@
+"""Backends and members as one registrar knows them: beats, tombstones, sessions, suspicions."""
+import msgspec
+
+from ..common.logs import Scribe
+from ..common.results import Err, Ok, Result, mishap
+from ..common.settings import split_address
+from ..courier.board import Board
+from ..courier.messages import Record
+
+scribe = Scribe("roster")
+TOMBSTONE_S = 60.0
+NEW_LIFE_S = 3.0
+SILENT_S = 30.0
+SESSION_S = 2.5
+SUSPECT_S = 3.0
+
+
+class Beat(msgspec.Struct, rename="camel"):
+    svc: str
+    addr: str
+    az: str
+    seq: int
+    phase: str = "up"
+    slots: int = 1
+    cold_left_ms: float = 0
+    dbrole: str = "replica"
+
+
+class Roster:
+    """What this registrar knows of backends and members."""
+
+    def __init__(self, board: Board):
+        self.board = board
+        self.last_seq: dict[str, int] = {}
+        self.heard_at: dict[str, float] = {}       # by any registrar, on our clock
+        self.gone_at: dict[str, float] = {}
+        self.sessions: dict[str, tuple] = {}       # node: (zone, address, heard at)
+        self.peer_sessions: dict[str, tuple] = {}  # peer: (heard at, [(node, zone, address)])
+        self.suspected: dict[str, float] = {}      # backend: when a counter last told of a mishap
+        self.probed: dict[str, float] = {}         # backend: since when our probes fail
+        self.peer_dark: dict[str, dict] = {}       # peer: {backend: since when, on our clock}
+
+    def beat(self, name: str, body: bytes, now: float) -> Result:
+        """A backend's beat; Ok(record) if something changed, Ok(None) if not.
+
+        >>> roster = Roster(Board()); beat = b'{"svc":"s","addr":"10.0.0.1:80","az":"z","seq":1}'
+        >>> roster.beat("i-1", beat, 0.0).ok().service
+        's'
+        >>> roster.beat("i-1", beat, 0.1)
+        Ok(None)
+        """
+        try:
+            beat = msgspec.json.decode(body, type=Beat)
+        except msgspec.MsgspecError as error:
+            return Err(mishap("invalid_beat", f"the beat is invalid: {error}"))
+        if split_address(beat.addr) is None or not beat.svc or beat.phase not in ("up", "draining"):
+            return Err(mishap("invalid_beat"))
+        if name in self.gone_at:
+            return Ok(None)
+        held = self.board.records.get(name)
+        life = held.life if held else 0
+        if beat.seq <= self.last_seq.get(name, held.seq if held else -1):
+            if now - self.heard_at.get(name, -1e9) < NEW_LIFE_S or held is None:
+                return Ok(None)
+            life += 1
+        self.last_seq[name], self.heard_at[name] = beat.seq, now
+        fresh = Record(name, beat.svc, beat.addr, beat.az, beat.slots, beat.phase,
+                       "primary" if beat.dbrole == "primary" else "replica", beat.cold_left_ms, life, beat.seq)
+        if held and self.same(held, fresh):
+            return Ok(None)
+        if not held or held.role != fresh.role or held.phase != fresh.phase:
+            scribe.say("the backend %s of %s is %s, %s", name, fresh.service, fresh.phase, fresh.role)
+        self.board.records[name] = fresh
+        self.board.forget(())
+        return Ok(fresh)
+
+    @staticmethod
+    def same(held: Record, fresh: Record) -> bool:
+        """Whether a beat tells nothing new that others must know.
+
+        >>> Roster.same(Record("i", "s", "a", "z", seq=1), Record("i", "s", "a", "z", seq=2))
+        True
+        """
+        substance = ("service", "address", "zone", "slots", "phase", "role", "life")
+        warmer = (held.cold_ms > 0) == (fresh.cold_ms > 0)
+        return warmer and all(getattr(held, field) == getattr(fresh, field) for field in substance)
+
+    def leave(self, name: str, now: float) -> Record | None:
+        """A backend says goodbye: a tombstone stays, so that a late beat can't revive it.
+
+        >>> roster = Roster(Board()); roster.leave("i-1", 0.0) is None
+        True
+        """
+        held = self.board.records.get(name)
+        self.gone_at[name] = now
+        if held is None or held.phase == "gone":
+            return None
+        scribe.say("the backend %s of %s has left", name, held.service)
+        gone = msgspec.structs.replace(held, phase="gone", life=held.life + 1)
+        self.board.records[name] = gone
+        self.board.forget(())
+        return gone
+
+    def take_records(self, records: list[Record], now: float) -> list[Record]:
+        """Records from another registrar; gives those that were new here.
+
+        >>> Roster(Board()).take_records([Record("i", "s", "10.0.0.1:80", "z")], 0.0)[0].name
+        'i'
+        """
+        fresh = [record for record in records if self.board.newer(record)]
+        for record in fresh:
+            self.board.records[record.name] = record
+            self.heard_at.setdefault(record.name, now)
+            if record.phase == "gone":
+                self.gone_at.setdefault(record.name, now)
+        self.board.forget(())
+        return fresh
+
+    def hear_peer(self, peer: str, beat, now: float) -> None:
+        """A peer's heartbeat: its sessions, what it heard, what it finds dark.
+
+        >>> Roster.hear_peer.__name__
+        'hear_peer'
+        """
+        self.peer_sessions[peer] = (now, beat.sessions)
+        self.peer_dark[peer] = {name: now - dark / 1000 for name, dark in beat.dark.items()}
+        for name, age in beat.heard.items():
+            heard = now - age / 1000
+            if heard > self.heard_at.get(name, -1e9):
+                self.heard_at[name] = heard
+        for name in beat.suspects:
+            self.suspect(name, now)
+
+    def suspect(self, name: str, now: float) -> None:
+        """A counter told of a mishap with this backend.
+
+        >>> roster = Roster(Board()); roster.suspect("i", 1.0); roster.suspected
+        {'i': 1.0}
+        """
+        self.suspected[name] = now
+
+    def suspects(self, beat_s: float, now: float) -> list[str]:
+        """The primaries that are to be probed: told of lately, overdue with their beat, or known dark.
+
+        >>> Roster(Board()).suspects(1.2, 0.0)
+        []
+        """
+        return [
+            record.name for record in self.board.records.values()
+            if record.role == "primary" and record.phase != "gone" and (
+                now - self.suspected.get(record.name, -1e9) < SUSPECT_S
+                or now - self.heard_at.get(record.name, now) > 1.6 * beat_s
+                or record.name in self.probed)
+        ]
+
+    def heard_ages(self, now: float) -> dict[str, float]:
+        """For the peers: how long ago each backend was heard, in ms.
+
+        >>> Roster(Board()).heard_ages(0.0)
+        {}
+        """
+        return {
+            name: round((now - heard) * 1000) for name, heard in self.heard_at.items()
+            if now - heard < 5.0 and name in self.board.records
+        }
+
+    def dark_ages(self, now: float) -> dict[str, float]:
+        """For the peers: how long our probes of a backend have failed, in ms.
+
+        >>> Roster(Board()).dark_ages(0.0)
+        {}
+        """
+        return {name: round((now - since) * 1000) for name, since in self.probed.items()}
+
+    def dark_since(self, name: str, voters: int, now: float) -> float | None:
+        """Since when a majority of the registrars has found a backend dark and none heard it.
+
+        >>> roster = Roster(Board()); roster.probed["i"] = 1.0
+        >>> roster.dark_since("i", 3, 2.0) is None
+        True
+        >>> roster.peer_dark["b"] = {"i": 1.4}; roster.peer_sessions["b"] = (2.0, []); roster.dark_since("i", 3, 2.0)
+        1.4
+        """
+        times = [self.probed[name]] if name in self.probed else []
+        times += [
+            dark[name] for peer, dark in self.peer_dark.items()
+            if name in dark and now - self.peer_sessions[peer][0] < SESSION_S
+        ]
+        majority = voters // 2 + 1
+        if len(times) < majority:
+            return None
+        since = sorted(times)[majority - 1]
+        return None if self.heard_at.get(name, -1e9) > since else since
+
+    def session(self, node: str, zone: str, address: str, now: float) -> bool:
+        """A counter's session stands; tells whether it is new.
+
+        >>> Roster(Board()).session("edge-1", "z", "10.0.0.1:7441", 0.0)
+        True
+        """
+        fresh = node not in self.sessions
+        self.sessions[node] = (zone, address, now)
+        if fresh:
+            scribe.say("the counter %s is a member", node)
+        return fresh
+
+    def end_session(self, node: str) -> None:
+        """A counter's session is over.
+
+        >>> Roster(Board()).end_session("edge-1")
+        """
+        if self.sessions.pop(node, None):
+            scribe.say("the counter %s is no longer a member here", node)
+
+    def members(self, now: float) -> dict[str, tuple[str, str]]:
+        """All members, whoever holds their session: node to (zone, address).
+
+        >>> Roster(Board()).members(0.0)
+        {}
+        """
+        found = {
+            node: (zone, address)
+            for heard, sessions in self.peer_sessions.values() if now - heard < SESSION_S
+            for node, zone, address in sessions
+        }
+        found.update((node, (zone, address)) for node, (zone, address, _heard) in self.sessions.items())
+        return found
+
+    def parent(self, node: str, home: str, fan: int, now: float) -> str:
+        """Where a counter takes its news from: an address, or nothing for the registrar itself.
+
+        The members in session here form a tree by zone; in another zone than the registrar's
+        only the first is a direct child, so news crosses the border once.
+
+        >>> roster = Roster(Board())
+        >>> _fresh = [roster.session(f"edge-{n}", "far", f"10.0.0.{n}:7441", 0.0) for n in (1, 2)]
+        >>> roster.parent("edge-2", "near", 4, 0.0)
+        '10.0.0.1:7441'
+        """
+        zone = self.sessions[node][0]
+        siblings = sorted(name for name, session in self.sessions.items() if session[0] == zone)
+        place = siblings.index(node)
+        direct = fan if zone == home else 1
+        return "" if place < direct else self.sessions[siblings[(place - direct) // fan]][1]
+
+    def sweep(self, now: float) -> list[Record]:
+        """Ends what is long silent; forgets old tombstones. Gives records that changed.
+
+        >>> Roster(Board()).sweep(0.0)
+        []
+        """
+        for node in [node for node, (_z, _a, heard) in self.sessions.items() if now - heard > SESSION_S]:
+            self.end_session(node)
+        old = [name for name, gone in self.gone_at.items() if now - gone > TOMBSTONE_S]
+        for name in old:
+            del self.gone_at[name]
+        self.board.forget([name for name in old if self.board.records.get(name, None)
+                           and self.board.records[name].phase == "gone"])
+        silent = [
+            name for name, record in self.board.records.items()
+            if record.phase != "gone" and now - self.heard_at.get(name, now) > SILENT_S
+        ]
+        return [record for record in (self.leave(name, now) for name in silent) if record]
--- /dev/null
+++ b/sumacloom/registrar/shell.py
@@ -0,0 +1,356 @@
+"""The registrar's shell: sockets, disk and clock around the office."""
+import random
+import signal
+import time
+
+import curio
+
+from ..common import http
+from ..common.logs import Scribe
+from ..common.settings import Settings, read_settings, split_address
+from ..courier.links import Link, dial, listen, tune
+from ..courier.messages import Follow, Hello, MemberBeat, RegistrarBeat
+from ..ledger.log import Ledger
+from . import ctl, duties
+from .errands import run_ask, run_plan
+from .failover import Ask, Row, draw_plan
+from .office import Office
+from .values import DutyValue, decode, keep
+
+scribe = Scribe("registrar")
+TICK_S = 0.05
+PROBE_S = 0.2
+FAN = 4
+DARK_S = 0.35
+
+
+class Shell:
+    """One running registrar."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.most_blueprint = 4 << 20
+        self.office = Office(settings, Ledger(settings.datadir), random.SystemRandom(), self.now())
+        self.out_links: dict[str, Link] = {}       # peer ip: link we dialled
+        self.counters: dict[str, Link] = {}        # node: its link
+        self.waiting: list[tuple] = []             # (proposal, event)
+        self.plans, self.probing = {}, set()
+        self.nobody_since: dict[str, float] = {}
+        self.stopping = curio.Event()
+        self.port = settings.port_range[0]
+
+    @staticmethod
+    def now() -> float:
+        """The steady clock.
+
+        >>> Shell.now() <= Shell.now()
+        True
+        """
+        return time.monotonic()
+
+    def hello(self) -> Hello:
+        """How this registrar names itself.
+
+        >>> Shell.hello.__name__
+        'hello'
+        """
+        settings = self.settings
+        return Hello(settings.node, "registrar", settings.zone, f"{settings.ip}:{self.port}", settings.ip)
+
+    # ------------------------------------------------------------ acting
+    async def act(self) -> None:
+        """Sends what the office put out, wakes who waits for an outcome, passes news on.
+
+        >>> Shell.act.__name__
+        'act'
+        """
+        office = self.office
+        outbox, office.outbox = office.outbox, []
+        for peer, message in outbox:
+            link = self.out_links.get(peer)
+            if link:
+                link.send(message)
+        still = []
+        for proposal, event in self.waiting:
+            if proposal.outcome is None:
+                still.append((proposal, event))
+            else:
+                await event.set()
+        self.waiting = still
+        self.pass_news()
+
+    def pass_news(self) -> None:
+        """Sends the counters that hang on us directly what they lack.
+
+        >>> Shell.pass_news.__name__
+        'pass_news'
+        """
+        board, digest = self.office.board, self.office.board.digest()
+        for node, link in self.counters.items():
+            if link.digest is None or link.digest == digest or link.parent:
+                continue
+            news = board.news_for(link.digest)
+            if news:
+                link.send(news)
+            link.digest = digest
+
+    async def decide(self, key: str, change, reading: bool = False):
+        """Proposes, and waits for the outcome.
+
+        >>> Shell.decide.__name__
+        'decide'
+        """
+        proposal = self.office.propose(key, change, self.now(), reading)
+        if proposal.outcome is None:
+            event = curio.Event()
+            self.waiting.append((proposal, event))
+            await self.act()
+            await event.wait()
+        else:
+            await self.act()
+        return proposal.outcome
+
+    # ------------------------------------------------------------ links
+    async def keep_link(self, peer: str) -> None:
+        """Keeps a link to another registrar, dialling anew when it ends.
+
+        >>> Shell.keep_link.__name__
+        'keep_link'
+        """
+        while True:
+            try:
+                sock = await dial(peer, self.port)
+            except OSError:
+                await curio.sleep(0.25)
+                continue
+            link = Link(sock)
+            link.send(self.hello())
+            self.out_links[peer] = link
+            async for _message in link.messages():
+                pass
+            del self.out_links[peer]
+            await link.close()
+            await curio.sleep(0.1)
+
+    async def take_link(self, sock) -> None:
+        """A daemon dialled us: another registrar, or a counter.
+
+        >>> Shell.take_link.__name__
+        'take_link'
+        """
+        tune(sock._socket)
+        link = Link(sock)
+        link.parent = ""
+        try:
+            async for message in link.messages():
+                now = self.now()
+                if link.peer is None:
+                    if not isinstance(message, Hello):
+                        break
+                    link.peer = message
+                    if message.role == "counter":
+                        link.send(self.hello())
+                    continue
+                if link.peer.role == "counter":
+                    self.hear_counter(link, message, now)
+                else:
+                    self.office.hear(link.peer.ip, message, now)
+                await self.act()
+        finally:
+            if link.peer and self.counters.get(link.peer.node) is link:
+                del self.counters[link.peer.node]
+                self.office.roster.end_session(link.peer.node)
+            await link.close()
+
+    def hear_counter(self, link: Link, message, now: float) -> None:
+        """A counter's heartbeat, or its call for news.
+
+        >>> Shell.hear_counter.__name__
+        'hear_counter'
+        """
+        office, node = self.office, link.peer.node
+        if isinstance(message, Follow):
+            link.digest = message.digest
+            news = office.board.news_for(message.digest)
+            if news:
+                link.send(news)
+            return
+        if not isinstance(message, MemberBeat):
+            return
+        office.roster.session(node, link.peer.zone, link.peer.address, now)
+        self.counters[node] = link
+        link.digest = message.digest
+        link.report = message.report or getattr(link, "report", None)
+        for name in message.mishaps:
+            if name not in office.roster.suspected or now - office.roster.suspected[name] > 0.5:
+                office.roster.suspect(name, now)
+                office.told_suspects.add(name)
+                office.beaten_at = -1e9
+        link.parent = office.roster.parent(node, self.settings.zone, FAN, now)
+        registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
+        members = max(1, len(office.roster.members(now)))
+        link.send(RegistrarBeat(office.board.digest(), members, link.parent, registrars))
+
+    # ------------------------------------------------------------ the duty
+    def may_act(self) -> bool:
+        """Whether the failover duty is ours at this moment.
+
+        >>> Shell.may_act.__name__
+        'may_act'
+        """
+        return duties.holds_duty(self.office, self.now())
+
+    async def probe(self, record) -> None:
+        """Tries a suspected primary from here.
+
+        >>> Shell.probe.__name__
+        'probe'
+        """
+        roster, started = self.office.roster, self.now()
+        outcome = await run_ask(self, Ask(record, "STAT"))
+        if isinstance(outcome, Row) or outcome == "BUSY":
+            roster.probed.pop(record.name, None)
+        elif roster.probed.setdefault(record.name, started) == started:
+            scribe.say("the primary %s can't be reached from here", record.name)
+            self.office.tell_all(self.office.peer_beat(self.now()))
+        await curio.sleep(PROBE_S)
+        self.probing.discard(record.name)
+
+    async def mind_backends(self, now: float) -> None:
+        """Probes suspected primaries; as holder of the duty, starts the plans that services need.
+
+        >>> Shell.mind_backends.__name__
+        'mind_backends'
+        """
+        office = self.office
+        roster, records = office.roster, office.board.records
+        for name in [name for name in roster.probed if name not in records or records[name].phase == "gone"]:
+            del roster.probed[name]
+        for name in roster.suspects(self.settings.beat_ms / 1000, now):
+            if name not in self.probing:
+                self.probing.add(name)
+                await curio.spawn(self.probe, records[name], daemon=True)
+        if not self.may_act():
+            return
+        services = {}
+        for record in records.values():
+            services.setdefault(record.service, []).append(record)
+        known = {service.name: service for service in office.board.blueprint.svcs} if office.board.blueprint else {}
+        voters = len(office.acceptor.voters)
+        for service, members in services.items():
+            if any(record.role == "primary" and record.phase != "gone" for record in members):
+                self.nobody_since.pop(service, None)
+            else:
+                self.nobody_since.setdefault(service, now)
+            if service in self.plans or service not in known:
+                continue
+            drawn = draw_plan(service, members, office.board.zones, lambda name: roster.dark_since(name, voters, now),
+                              known[service].sync_acks, now, DARK_S, self.nobody_since.get(service))
+            if drawn:
+                self.plans[service] = drawn[0]
+                await curio.spawn(self.carry_out, service, *drawn, daemon=True)
+
+    async def carry_out(self, service: str, name: str, plan) -> None:
+        """Runs one plan, after a majority has confirmed that the duty is ours.
+
+        >>> Shell.carry_out.__name__
+        'carry_out'
+        """
+        try:
+            result = await self.decide(duties.DUTY, keep, reading=True)
+            if result.is_err() or decode(DutyValue, result.ok()[1]) != self.office.duty or not self.may_act():
+                await curio.sleep(0.2)
+                return
+            scribe.say("%s for %s begins", name, service)
+            leads = await run_plan(self, plan)
+            scribe.say("%s for %s ended, %s leads", name, service, leads or "nobody new")
+            await curio.sleep(0.5 if leads else 0.2)
+        finally:
+            self.plans.pop(service, None)
+
+    # ------------------------------------------------------------ running
+    async def clock(self) -> None:
+        """Ticks.
+
+        >>> Shell.clock.__name__
+        'clock'
+        """
+        while True:
+            await curio.sleep(TICK_S)
+            now = self.now()
+            self.office.tick(now)
+            await self.mind_backends(now)
+            for link in [*self.counters.values(), *self.out_links.values()]:
+                link.outlet.flush()
+            await self.act()
+
+    async def accept(self, sock, serve) -> None:
+        """Takes connections for ever.
+
+        >>> Shell.accept.__name__
+        'accept'
+        """
+        while True:
+            try:
+                client, _address = await sock.accept()
+            except OSError:
+                await curio.sleep(0.05)
+                continue
+            await curio.spawn(serve, client, daemon=True)
+
+    async def serve_ctl(self, sock) -> None:
+        """Serves one HTTP connection.
+
+        >>> Shell.serve_ctl.__name__
+        'serve_ctl'
+        """
+        async def handler(request):
+            return await ctl.handle(self, request)
+        await http.serve_wire(sock, handler)
+
+    async def hup(self, signals) -> None:
+        """Reads the settings file again at each SIGHUP.
+
+        >>> Shell.hup.__name__
+        'hup'
+        """
+        async for _signal in signals:
+            self.reread()
+
+    def reread(self) -> None:
+        """Takes what may change while running: seeds, bounds, log level; a bad file changes nothing.
+
+        >>> Shell.reread.__name__
+        'reread'
+        """
+        result = read_settings("registrar")
+        if result.is_err():
+            scribe.warn("the old settings stay: %s", result.err().sentence)
+            return
+        fresh = result.ok()
+        self.settings.seeds, self.settings.bounds, self.settings.zones = fresh.seeds, fresh.bounds, fresh.zones
+        scribe.say("the settings were read again")
+
+    async def main(self) -> int:
+        """Runs until SIGTERM.
+
+        >>> Shell.main.__name__
+        'main'
+        """
+        settings = self.settings
+        hangups = curio.SignalQueue(signal.SIGHUP)
+        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as endings, hangups:
+            host, port = split_address(settings.listen.ctl)
+            await curio.spawn(self.accept, listen(host, port), self.serve_ctl, daemon=True)
+            await curio.spawn(self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
+            for peer in self.office.others():
+                await curio.spawn(self.keep_link, peer, daemon=True)
+            await curio.spawn(self.clock, daemon=True)
+            await curio.spawn(self.hup, hangups, daemon=True)
+            scribe.say("serving at %s", settings.listen.ctl)
+            await endings.get()
+            scribe.say("leaving")
+            cutoff = self.now() + settings.bounds.grace_s / 3
+            while self.waiting and self.now() < cutoff:
+                await curio.sleep(0.02)
+        return 0
