--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -1,11 +1,11 @@
 """The counter's shell: sockets and clock around the floor."""
-import signal
 import time
 
 import curio
 
 from ..common import http
 from ..common.logs import Scribe
+from ..common.signals import Signals
 from ..common.settings import Settings, read_settings, split_address
 from ..courier.board import Board
 from ..courier.links import Outlet, dial, listen, tune
@@ -29,7 +29,8 @@
         self.blocked: set = set()
         self.next_session = 0
         self.most_sessions = max(64, settings.limits.nofile - KEPT_DESCRIPTORS)
-        self.over = curio.Event()
+        self.over = False
+        self.signals = Signals().listen()
         self.member = Member(settings, self.now, self.take_news, self.floor.mishaps, lambda: None)
 
     @staticmethod
@@ -58,7 +59,7 @@
                 elif kind == "dial":
                     await curio.spawn(self.run_wire, *rest, daemon=True)
                 elif kind == "exit":
-                    await self.over.set()
+                    self.over = True
 
     def send(self, key, data: bytes) -> None:
         """Bytes for a session or a wire.
@@ -184,13 +185,17 @@
 
     # ------------------------------------------------------------ running
     async def clock(self) -> None:
-        """Ticks.
+        """Ticks until this counter has left.
 
         >>> Shell.clock.__name__
         'clock'
         """
-        while True:
+        while not self.over:
             await curio.sleep(TICK_S)
+            if self.signals.take_hangup():
+                self.reread()
+            if self.signals.ending:
+                upkeep.sigterm(self.floor, self.now())
             self.floor.yard.members = self.member.members
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
@@ -230,21 +235,19 @@
             return http.Reply(200 if self.floor.ready else 503)
         await http.serve_wire(sock, handler, 4096)
 
-    async def hup(self, signals) -> None:
-        """Reads the settings file again at each SIGHUP; nothing is dropped.
+    def reread(self) -> None:
+        """Reads the settings file again; nothing is dropped, a bad file changes nothing.
 
-        >>> Shell.hup.__name__
-        'hup'
+        >>> Shell.reread.__name__
+        'reread'
         """
-        async for _signal in signals:
-            result = read_settings("counter")
-            if result.is_err():
-                scribe.warn("the old settings stay: %s", result.err().sentence)
-                continue
-            fresh = result.ok()
-            self.settings.bounds, self.settings.health = fresh.bounds, fresh.health
-            self.settings.seeds = fresh.seeds
-            scribe.say("the settings were read again")
+        result = read_settings("counter")
+        if result.is_err():
+            scribe.warn("the old settings stay: %s", result.err().sentence)
+            return
+        fresh = result.ok()
+        self.settings.bounds, self.settings.health, self.settings.seeds = fresh.bounds, fresh.health, fresh.seeds
+        scribe.say("the settings were read again")
 
     async def main(self) -> int:
         """Runs until SIGTERM, then leaves in order.
@@ -253,18 +256,12 @@
         'main'
         """
         settings = self.settings
-        hangups = curio.SignalQueue(signal.SIGHUP)
-        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as endings, hangups:
-            for name, serve in (("fe", self.run_session), ("readyz", self.serve_ready)):
-                sock = listen(*split_address(getattr(settings.listen, name)))
-                await curio.spawn(self.accept, sock, serve, daemon=True)
-            await curio.spawn(self.member.serve_children, daemon=True)
-            await curio.spawn(self.member.attach, daemon=True)
-            await curio.spawn(self.clock, daemon=True)
-            await curio.spawn(self.hup, hangups, daemon=True)
-            scribe.say("serving at %s", settings.listen.fe)
-            await endings.get()
-            upkeep.sigterm(self.floor, self.now())
-            await self.over.wait()
-            scribe.say("gone")
+        for name, serve in (("fe", self.run_session), ("readyz", self.serve_ready)):
+            sock = listen(*split_address(getattr(settings.listen, name)))
+            await curio.spawn(self.accept, sock, serve, daemon=True)
+        await curio.spawn(self.member.serve_children, daemon=True)
+        await curio.spawn(self.member.attach, daemon=True)
+        scribe.say("serving at %s", settings.listen.fe)
+        await self.clock()
+        scribe.say("gone")
         return 0
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -180,8 +180,9 @@
     >>> sigterm.__name__
     'sigterm'
     """
-    floor.leaving_at = now
-    leave(floor, "sigterm", now)
+    if floor.leaving == "serving":
+        floor.leaving_at = now
+        leave(floor, "sigterm", now)
 
 
 def leave_step(floor, now: float) -> None:
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -1,12 +1,12 @@
 """The registrar's shell: sockets, disk and clock around the office."""
 import random
-import signal
 import time
 
 import curio
 
 from ..common import http
 from ..common.logs import Scribe
+from ..common.signals import Signals
 from ..common.settings import Settings, read_settings, split_address
 from ..courier.links import Link, dial, listen, tune
 from ..courier.messages import Follow, Hello, MemberBeat, RegistrarBeat
@@ -36,7 +36,7 @@
         self.waiting: list[tuple] = []             # (proposal, event)
         self.plans, self.probing = {}, set()
         self.nobody_since: dict[str, float] = {}
-        self.stopping = curio.Event()
+        self.signals = Signals().listen()
         self.port = settings.port_range[0]
 
     @staticmethod
@@ -270,13 +270,15 @@
 
     # ------------------------------------------------------------ running
     async def clock(self) -> None:
-        """Ticks.
+        """Ticks until SIGTERM.
 
         >>> Shell.clock.__name__
         'clock'
         """
-        while True:
+        while not self.signals.ending:
             await curio.sleep(TICK_S)
+            if self.signals.take_hangup():
+                self.reread()
             now = self.now()
             self.office.tick(now)
             await self.mind_backends(now)
@@ -308,15 +310,6 @@
             return await ctl.handle(self, request)
         await http.serve_wire(sock, handler)
 
-    async def hup(self, signals) -> None:
-        """Reads the settings file again at each SIGHUP.
-
-        >>> Shell.hup.__name__
-        'hup'
-        """
-        async for _signal in signals:
-            self.reread()
-
     def reread(self) -> None:
         """Takes what may change while running: seeds, bounds, log level; a bad file changes nothing.
 
@@ -338,19 +331,17 @@
         'main'
         """
         settings = self.settings
-        hangups = curio.SignalQueue(signal.SIGHUP)
-        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as endings, hangups:
-            host, port = split_address(settings.listen.ctl)
-            await curio.spawn(self.accept, listen(host, port), self.serve_ctl, daemon=True)
-            await curio.spawn(self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
-            for peer in self.office.others():
-                await curio.spawn(self.keep_link, peer, daemon=True)
-            await curio.spawn(self.clock, daemon=True)
-            await curio.spawn(self.hup, hangups, daemon=True)
-            scribe.say("serving at %s", settings.listen.ctl)
-            await endings.get()
-            scribe.say("leaving")
-            cutoff = self.now() + settings.bounds.grace_s / 3
-            while self.waiting and self.now() < cutoff:
-                await curio.sleep(0.02)
+        host, port = split_address(settings.listen.ctl)
+        await curio.spawn(self.accept, listen(host, port), self.serve_ctl, daemon=True)
+        await curio.spawn(self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
+        for peer in self.office.others():
+            await curio.spawn(self.keep_link, peer, daemon=True)
+        scribe.say("serving at %s", settings.listen.ctl)
+        await self.clock()
+        scribe.say("leaving")
+        cutoff = self.now() + settings.bounds.grace_s / 3
+        while self.waiting and self.now() < cutoff:
+            await curio.sleep(TICK_S)
+            self.office.tick(self.now())
+            await self.act()
         return 0
