--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,7 @@
+import os
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+for folder in (os.path.join(ROOT, "target", "deps"), ROOT):
+    if os.path.isdir(folder) and folder not in sys.path:
+        sys.path.insert(0, folder)
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,181 @@
+"""The register under lost messages, crashes between rounds, duels and lost disks, by seeded schedules."""
+import random
+
+import msgspec
+import pytest
+
+
+from sumacloom.common.types import NO_BALLOT, Ballot
+from sumacloom.courier.messages import Accept, Prepare
+from sumacloom.registrar.register import Acceptor, Ballots, Proposal, Slot
+from sumacloom.registrar.values import (BlueprintValue, DutyValue, claim_duty, decode, evacuate, keep,
+                                        put_blueprint)
+
+VOTERS = ["a", "b", "c"]
+
+
+class Cluster:
+    """Acceptors with disks and a network that loses, delays and repeats, all from one seed."""
+
+    def __init__(self, seed, loss=0.1):
+        self.random = random.Random(seed)
+        self.loss, self.now = loss, 0.0
+        self.acceptors = {voter: Acceptor(list(VOTERS), index) for index, voter in enumerate(VOTERS)}
+        self.disks = {voter: {} for voter in VOTERS}
+        self.down, self.proposals, self.post = set(), [], []
+
+    def propose(self, at, change, reading=False):
+        slot = self.acceptors[at].slots.get("k", Slot())
+        ballots = Ballots(at, self.random.getrandbits(40), self.random)
+        ballots.saw(slot.promised)
+        proposal = Proposal("k", change, list(VOTERS), (slot.accepted, slot.value), ballots, self.now, 3.0, reading)
+        self.proposals.append((at, proposal))
+        self.send(at, proposal, proposal.messages())
+        return proposal
+
+    def send(self, at, proposal, messages):
+        for voter, message in messages:
+            for _copy in range(2 if self.random.random() < 0.05 else 1):
+                if self.random.random() >= self.loss:
+                    self.post.append((voter, message, at, proposal))
+
+    def step(self):
+        self.now += 0.01
+        if self.post:
+            voter, message, at, proposal = self.post.pop(self.random.randrange(len(self.post)))
+            if voter not in self.down:
+                reply, keys = self.acceptors[voter].hear(message)
+                for key in keys:
+                    self.disks[voter][key] = self.acceptors[voter].slots[key]
+                if reply is not None and at not in self.down and self.random.random() >= self.loss:
+                    self.send(at, proposal, proposal.hear(voter, reply, self.now))
+        for at, proposal in self.proposals:
+            if at not in self.down:
+                self.send(at, proposal, proposal.alarm(self.now))
+
+    def crash(self, voter, disk=True):
+        """The process dies; its proposals with it. Without its disk it must learn before it votes."""
+        self.proposals = [(at, proposal) for at, proposal in self.proposals if at != voter]
+        old = self.acceptors[voter]
+        fresh = Acceptor(list(VOTERS), old.incarnation if disk else self.random.getrandbits(40), learned=disk)
+        if disk:
+            fresh.slots = dict(self.disks[voter])
+        else:
+            self.disks[voter] = {}
+        self.acceptors[voter] = fresh
+
+    def relearn(self, voter):
+        tales = {other: self.acceptors[other].tell() for other in VOTERS if other != voter and other not in self.down}
+        keys = self.acceptors[voter].learn({other: told for other, told in tales.items() if told})
+        for key in keys or []:
+            self.disks[voter][key] = self.acceptors[voter].slots[key]
+        return keys is not None
+
+
+def run_until_done(cluster, steps=2500):
+    for _step in range(steps):
+        cluster.step()
+        if all(proposal.outcome is not None for _at, proposal in cluster.proposals) and not cluster.post:
+            break
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_two_changes_on_one_generation_never_both_win(seed):
+    """Racing operators, a crash and a lost disk between rounds; then the newest is read back whole."""
+    cluster = Cluster(seed)
+    acknowledged, base = [], 0
+    for generation in range(1, 6):
+        racing = [
+            cluster.propose(at, put_blueprint(generation * 10 + place, b"%d" % (generation * 10 + place), base))
+            for place, at in enumerate(cluster.random.sample(VOTERS, 2))
+        ]
+        for _step in range(cluster.random.randrange(60)):
+            cluster.step()
+        victim = cluster.random.choice(VOTERS)
+        if cluster.random.random() < 0.7 and all(acceptor.learned for acceptor in cluster.acceptors.values()):
+            cluster.crash(victim, disk=cluster.random.random() < 0.5)
+        run_until_done(cluster)
+        for voter in VOTERS:
+            if not cluster.acceptors[voter].learned:
+                assert cluster.relearn(voter)
+        won = [proposal for proposal in racing if proposal.outcome is not None and proposal.outcome.is_ok()]
+        assert len(won) <= 1
+        reading = cluster.propose("a", keep, reading=True)
+        run_until_done(cluster)
+        if reading.outcome.is_err():
+            continue
+        current = decode(BlueprintValue, reading.outcome.ok()[1])
+        acknowledged += [decode(BlueprintValue, proposal.outcome.ok()[1]).ver for proposal in won]
+        if acknowledged:
+            assert current.ver >= acknowledged[-1]
+            assert set(acknowledged) <= {ver for ver, _digest in current.history}
+        base = current.ver if current else 0
+
+
+def test_an_acceptor_refuses_the_second_round_of_another_incarnation():
+    acceptor = Acceptor(list(VOTERS), 1)
+    promise, _keys = acceptor.hear(Prepare("k", Ballot(1, "a", 1), NO_BALLOT))
+    reborn = Acceptor(list(VOTERS), 2)
+    reply, keys = reborn.hear(Accept("k", Ballot(1, "a", 1), b"v", promise.incarnation))
+    assert type(reply).__name__ == "Refused" and keys == [] and "k" not in reborn.slots
+
+
+def test_a_lost_disk_keeps_silent_until_all_others_have_told():
+    cluster = Cluster(1, loss=0.0)
+    done = cluster.propose("a", put_blueprint(5, b"{}", 0))
+    run_until_done(cluster)
+    assert done.outcome.is_ok()
+    cluster.crash("c", disk=False)
+    assert cluster.acceptors["c"].hear(Prepare("k", Ballot(99, "z", 1), NO_BALLOT)) == (None, [])
+    cluster.down.add("b")
+    assert not cluster.relearn("c")
+    cluster.down.clear()
+    assert cluster.relearn("c") and cluster.acceptors["c"].slots["k"].accepted >= done.outcome.ok()[0]
+
+
+def test_without_a_majority_the_caller_gets_a_clear_no_in_time():
+    cluster = Cluster(2, loss=0.0)
+    cluster.down |= {"b", "c"}
+    proposal = cluster.propose("a", put_blueprint(5, b"{}", 0))
+    run_until_done(cluster, 400)
+    assert proposal.outcome.err().name == "no_majority"
+
+
+def test_an_undecided_value_is_finished_before_a_refusal():
+    """A proposer died after one accept: the next caller's 412 must rest on a decided value."""
+    cluster = Cluster(3, loss=0.0)
+    first = cluster.propose("a", put_blueprint(5, b"{}", 0))
+    ballot = first.ballot
+    for voter in VOTERS:
+        cluster.acceptors[voter].hear(Prepare("k", ballot, NO_BALLOT))
+    value = put_blueprint(5, b"{}", 0)(None).ok()
+    cluster.acceptors["b"].hear(Accept("k", ballot, value, cluster.acceptors["b"].incarnation))
+    cluster.post, cluster.proposals = [], []
+    cluster.down.add("a")
+    second = cluster.propose("c", put_blueprint(9, b"{}", 0))
+    run_until_done(cluster)
+    assert second.outcome.err().name == "stale_match"
+    assert decode(BlueprintValue, second.decided[1]).ver == 5
+
+
+CHANGES = [
+    (put_blueprint(3, b"x", 0), None, "ok"),
+    (put_blueprint(3, b"x", 1), None, "stale_match"),
+    (put_blueprint(3, b"x", 0), BlueprintValue(3, b"x", [(3, "2d711642b726b04401627ca9fbac32f5")]), "same"),
+    (put_blueprint(3, b"y", 3), BlueprintValue(3, b"x", []), "old_generation"),
+    (put_blueprint(2, b"y", 3), BlueprintValue(3, b"x", []), "old_generation"),
+    (put_blueprint(7, b"y", 3), BlueprintValue(3, b"x", []), "ok"),
+    (evacuate("z", True), None, "ok"),
+    (evacuate("z", False), None, "same"),
+    (claim_duty("b", 1, None), DutyValue("a", 1, 9), "stale_match"),
+    (claim_duty("b", 1, DutyValue("a", 1, 9)), DutyValue("a", 1, 9), "ok"),
+]
+
+
+@pytest.mark.parametrize("change, current, expected", CHANGES)
+def test_changes(change, current, expected):
+    result = change(None if current is None else msgspec.msgpack.encode(current))
+    got = result.err().name if result.is_err() else ("same" if result.ok() is None else "ok")
+    assert got == expected
+
+
