--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -283,6 +283,7 @@
                 errand.fall_back()
         if errand.plan[0] == "lead":
             backends = yard.lead_candidates(ground, errand.rule, now)[:1]
+            ground.headless_since = None if backends else ground.headless_since or now
         for backend in backends:
             if backend.name in full:
                 continue
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -11,6 +11,7 @@
 BEAT_S = 0.35
 QUIET_S = 1.1
 BEHIND_S = 0.5
+SETTLE_S = 4.0
 
 
 class Member:
@@ -28,6 +29,8 @@
         self.parent_address = ""
         self.children: list[Link] = []
         self.members = 1
+        self.settled = False         # whether members have had the time to be counted
+        self.started_at = clock()
         self.behind_since = None
         self.attached = ""
 
@@ -192,6 +195,7 @@
             await self.take_news(message)
         elif isinstance(message, RegistrarBeat):
             self.members = message.members
+            self.settled = self.settled or self.clock() - self.started_at > SETTLE_S
             self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
             await self.follow(message.parent)
             self.check_behind(link, message.digest)
--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -414,6 +414,18 @@
         errand_lost(floor, owner, now)
 
 
+def backend_silent(floor, wire, why: str, now: float) -> None:
+    """A wire left our own texts unanswered: the backend is dark, and its idle wires are no better.
+
+    >>> backend_silent.__name__
+    'backend_silent'
+    """
+    backend = floor.yard.backends.get(wire.backend)
+    for idle in list(backend.idle) if backend else []:
+        drop(floor, idle)
+    wire_lost(floor, wire, why, now)
+
+
 def errand_lost(floor, errand, now: float) -> None:
     """The wire of an errand is gone.
 
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -196,7 +196,8 @@
                 self.reread()
             if self.signals.ending:
                 upkeep.sigterm(self.floor, self.now())
-            self.floor.yard.members = self.member.members
+            if self.member.settled:
+                self.floor.yard.count_members(self.member.members, self.now())
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
                 outlet = self.outlets.get(key)
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -4,13 +4,16 @@
 from .floor import LEAVING, Floor
 
 scribe = Scribe("upkeep")
-SETUP_CUTOFF_S = 0.6
-OWN_CUTOFF_S = 1.0
+SETUP_CUTOFF_S = 0.4
+OWN_CUTOFF_S = 0.8
 DIAL_CUTOFF_S = 0.8
 READ_AGAIN_S = 0.9
 UNLISTED_S = 2.3
 LOGIN_CUTOFF_S = 5.0
 WARM_EVERY_S = 0.5
+HELD_SHARE = 0.45      # of the statement's time: how long it is held for a backend to come
+LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
+HELD_LONG = 0.2        # it is held for this share of its aim only
 
 AT = {}
 
@@ -55,7 +58,10 @@
     >>> AT["waiting"] is check_waiting
     True
     """
-    if now >= errand.hold_until:
+    ground = floor.yard.ground(errand.rule.service)
+    headless = ground.headless_since is not None and now - ground.headless_since >= LONG_OUTAGE_S
+    held = now - errand.received
+    if held >= errand.rule.statement_s * HELD_SHARE or (headless and held >= errand.rule.goal_s * HELD_LONG):
         outcomes.refuse(floor, errand, now)
 
 
@@ -67,7 +73,7 @@
     True
     """
     if now - errand.ran_at >= SETUP_CUTOFF_S or now >= errand.cutoff:
-        outcomes.wire_lost(floor, errand.wire, "its setup went unanswered", now)
+        outcomes.backend_silent(floor, errand.wire, "its setup went unanswered", now)
 
 
 @stage("paused")
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -12,6 +12,8 @@
 SHARE_OF_MAXCONN = 0.7
 MOST_WIRES = 32
 SHARE_OF_BOUND = 0.6
+UNKNOWN_MEMBERS = 8
+MEMBERS_S = 10.0
 
 
 class Backend:
@@ -40,14 +42,14 @@
 class Ground:
     """One service: its backends, rotation and anchors."""
 
-    __slots__ = ("name", "backends", "rotation", "anchors", "seeking", "swept_at", "lead_seen", "lead_name")
+    __slots__ = ("name", "backends", "rotation", "anchors", "seeking", "swept_at", "lead_seen", "lead_name", "headless_since")
 
     def __init__(self, name: str, health):
         self.name = name
         self.backends = {}
         self.rotation = Rotation(health)
         self.anchors = Anchors()
-        self.seeking = None
+        self.seeking = self.headless_since = None
         self.swept_at = -1e9
         self.lead_seen, self.lead_name = ORIGIN, ""
 
@@ -61,9 +63,24 @@
         self.backends = {}
         self.evacuated = {}
         self.services = {}
-        self.members = 1
+        self.members = UNKNOWN_MEMBERS
+        self.members_seen = []
         self.next_key = 1
 
+    def count_members(self, members: int, now: float) -> None:
+        """Takes the member count; the most of the last seconds counts, since wires outlive their ends.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.count_members(3, 0.0); yard.count_members(2, 1.0)
+        >>> yard.members
+        3
+        """
+        self.members_seen = [(seen, count) for seen, count in self.members_seen if now - seen < MEMBERS_S]
+        if not self.members_seen or self.members_seen[-1][1] != members:
+            self.members_seen.append((now, members))
+        else:
+            self.members_seen[-1] = (now, members)
+        self.members = max(count for _seen, count in self.members_seen)
+
     def ground(self, service: str) -> Ground:
         """The service's ground, made when first asked for.
 
@@ -185,7 +202,7 @@
         return sorted(
             (backend for backend in ground.backends.values()
              if backend.claimed_at > -1e9 and backend.role == "primary"
-             and now >= backend.refused_at + REFUSED_S and now >= backend.barred_until
+             and now >= backend.refused_at + REFUSED_S and (backend.idle or now >= backend.barred_until)
              and not self.closed_to_new(backend, now) and self.at_home(backend, rule)),
             key=lambda backend: -backend.claimed_at)
 
@@ -203,7 +220,7 @@
         for replica in ground.rotation.inside():
             backend = ground.backends.get(replica.name)
             if (backend is None or backend.role == "primary" or backend.phase != "up"
-                    or backend.zone in self.evacuated or now < backend.barred_until
+                    or backend.zone in self.evacuated or (now < backend.barred_until and not backend.idle)
                     or not self.at_home(backend, rule)):
                 continue
             far = (backend.region != self.settings.region) + (backend.zone != self.settings.zone)
@@ -217,7 +234,7 @@
     def cap(self, backend: Backend) -> int:
         """How many wires this counter may hold to the backend.
 
-        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.cap(Backend("i-1", "svc"))
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.members = 1; yard.cap(Backend("i-1", "svc"))
         22
         """
         service = self.services.get(backend.service)
--- a/sumacloom/registrar/ctl.py
+++ b/sumacloom/registrar/ctl.py
@@ -3,7 +3,6 @@
 
 from ..common.http import Reply, Request, json_reply, mishap_reply
 from ..common.results import mishap
-from .check import check_blueprint
 from .values import BlueprintValue, decode, evacuate, keep, put_blueprint
 
 PATHS = []
@@ -46,7 +45,7 @@
     if result.is_err():
         return mishap_reply(result.err())
     if result.ok():
-        shell.office.tell_records([result.ok()], shell.now())
+        shell.office.tell_records(result.ok(), shell.now())
         await shell.act()
     return Reply(200, b"{}")
 
@@ -74,6 +73,7 @@
     """
     if len(request.body) > shell.most_blueprint:
         return mishap_reply(mishap("too_large"))
+    from .check import check_blueprint          # pydantic is slow to import: only where blueprints arrive
     checked = check_blueprint(request.body)
     if checked.is_err():
         return mishap_reply(checked.err())
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -10,6 +10,8 @@
 
 scribe = Scribe("failover")
 ASK_CUTOFF_S = 0.7
+PROBE_CUTOFF_S = 0.45
+OTHERS_S = 0.15       # how long the rest of a batch is waited for once one has answered
 PROMOTE_CUTOFF_S = 2.5
 
 RUNNERS = {}
@@ -28,15 +30,15 @@
 
 
 @runs(Ask)
-async def run_ask(shell, command: Ask) -> Row | str | None:
-    """One text for one backend: its row, an error code, or None for silence.
+async def run_ask(shell, command: Ask, cutoff_s: float = ASK_CUTOFF_S) -> Row | str | None:
+    """One text for one backend: its row, an error code, REFUSED if nothing listens there, or None for silence.
 
     >>> RUNNERS[Ask] is run_ask
     True
     """
     address = split_address(command.backend.address)
     try:
-        async with curio.timeout_after(ASK_CUTOFF_S):
+        async with curio.timeout_after(cutoff_s):
             sock = await dial(*address)
             async with sock:
                 splitter = LineSplitter()
@@ -45,9 +47,13 @@
                 line = (await read_lines(sock, splitter, ("READY", "ERR")))[-1]
                 if line.startswith("ERR"):
                     return line.split(" ")[1]
+                if not command.text:
+                    return "READY"
                 await sock.sendall(encode(f"QUERY - {command.text}"))
                 lines = await read_lines(sock, splitter, ("DONE", "ERR"))
                 await sock.sendall(encode("QUIT"))
+    except ConnectionRefusedError:
+        return "REFUSED"
     except (OSError, curio.TaskTimeout, IndexError):
         return None
     if lines[-1].startswith("ERR"):
@@ -101,11 +107,29 @@
 async def run_batch(shell, commands: list) -> dict:
     """Runs commands side by side; gives each one's outcome.
 
+    Once a backend has answered, the silent ones are waited for a little only, unless a command is patient.
+
     >>> run_batch.__name__
     'run_batch'
     """
-    tasks = [(command, await curio.spawn(RUNNERS[type(command)], shell, command)) for command in commands]
-    return {command: await task.join() for command, task in tasks}
+    outcomes = dict.fromkeys(commands)
+    hurried = not any(isinstance(command, Ask) and command.patient for command in commands)
+
+    tasks = {command: await curio.spawn(RUNNERS[type(command)], shell, command) for command in commands}
+    answered_at = None
+    while any(not task.terminated for task in tasks.values()):
+        if answered_at is None and any(
+                task.terminated and isinstance(task.result, Row) for task in tasks.values()):
+            answered_at = shell.now()
+        if hurried and answered_at is not None and shell.now() - answered_at >= OTHERS_S:
+            break
+        await curio.sleep(0.01)
+    for command, task in tasks.items():
+        if task.terminated:
+            outcomes[command] = await task.join()
+        else:
+            await task.cancel()
+    return outcomes
 
 
 async def run_plan(shell, plan):
--- a/sumacloom/registrar/failover.py
+++ b/sumacloom/registrar/failover.py
@@ -17,6 +17,7 @@
 
     backend: Record
     text: str
+    patient: bool = False        # whether a batch waits for its silent backends to the cutoff
 
 
 class Promote(NamedTuple):
@@ -106,7 +107,8 @@
     ['STAT']
     """
     everyone = replicas + ([dead] if dead else [])
-    rows = rows_of((yield [Ask(backend, "STAT") for backend in everyone]))
+    patient = sync_acks > 0
+    rows = rows_of((yield [Ask(backend, "STAT", patient) for backend in everyone]))
     newest = max((row.term for row in rows.values()), default=0)
     leading = [backend for backend, row in rows.items() if row.role == "primary" and row.term == newest]
     if leading:
@@ -115,7 +117,7 @@
     if not rows:
         return ""
     if sync_acks:
-        paused = yield [Ask(backend, f"PAUSE {newest + 1}") for backend in rows]
+        paused = yield [Ask(backend, f"PAUSE {newest + 1}", True) for backend in rows]
         rows = rows_of(paused)
         if not rows or len(replicas) - len(rows) >= sync_acks:
             yield [Ask(backend, "CONT") for backend in rows] or [Rest(0.2)]
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -41,10 +41,10 @@
         self.peer_dark: dict[str, dict] = {}       # peer: {backend: since when, on our clock}
 
     def beat(self, name: str, body: bytes, now: float) -> Result:
-        """A backend's beat; Ok(record) if something changed, Ok(None) if not.
+        """A backend's beat; Ok(records) that changed by it, Ok(None) if none did.
 
         >>> roster = Roster(Board()); beat = b'{"svc":"s","addr":"10.0.0.1:80","az":"z","seq":1}'
-        >>> roster.beat("i-1", beat, 0.0).ok().service
+        >>> roster.beat("i-1", beat, 0.0).ok()[0].service
         's'
         >>> roster.beat("i-1", beat, 0.1)
         Ok(None)
@@ -72,7 +72,20 @@
             scribe.say("the backend %s of %s is %s, %s", name, fresh.service, fresh.phase, fresh.role)
         self.board.records[name] = fresh
         self.board.forget(())
-        return Ok(fresh)
+        return Ok([fresh, *self.replaced_by(fresh, now)])
+
+    def replaced_by(self, fresh: Record, now: float) -> list[Record]:
+        """Ends the records of other backends that were at the address of a fresh one.
+
+        >>> Roster(Board()).replaced_by(Record("i", "s", "10.0.0.1:80", "z"), 0.0)
+        []
+        """
+        others = [
+            record.name for record in self.board.records.values()
+            if record.address == fresh.address and record.name != fresh.name and record.phase != "gone"
+            and self.heard_at.get(record.name, -1e9) <= self.heard_at.get(fresh.name, now)
+        ]
+        return [record for record in (self.leave(name, now) for name in others) if record]
 
     @staticmethod
     def same(held: Record, fresh: Record) -> bool:
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -12,8 +12,8 @@
 from ..courier.messages import Follow, Hello, MemberBeat, RegistrarBeat
 from ..ledger.log import Ledger
 from . import ctl, duties
-from .errands import run_ask, run_plan
-from .failover import Ask, Row, draw_plan
+from .errands import PROBE_CUTOFF_S, run_ask, run_plan
+from .failover import Ask, draw_plan
 from .office import Office
 from .values import DutyValue, decode, keep
 
@@ -21,7 +21,7 @@
 TICK_S = 0.05
 PROBE_S = 0.2
 FAN = 4
-DARK_S = 0.35
+DARK_S = 0.15
 
 
 class Shell:
@@ -207,8 +207,8 @@
         'probe'
         """
         roster, started = self.office.roster, self.now()
-        outcome = await run_ask(self, Ask(record, "STAT"))
-        if isinstance(outcome, Row) or outcome == "BUSY":
+        outcome = await run_ask(self, Ask(record, ""), PROBE_CUTOFF_S)
+        if outcome not in (None, "REFUSED", "WRONGHOST"):
             roster.probed.pop(record.name, None)
         elif roster.probed.setdefault(record.name, started) == started:
             scribe.say("the primary %s can't be reached from here", record.name)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -132,7 +132,7 @@
     assert fleet.decide("10.0.0.1", blueprint_change(4, 0)).is_ok()
     beat = b'{"svc":"s","addr":"10.0.1.1:80","az":"a","seq":1}'
     one = fleet.offices["10.0.0.1"]
-    one.tell_records([one.roster.beat("i-1", beat, fleet.now).ok()], fleet.now)
+    one.tell_records(one.roster.beat("i-1", beat, fleet.now).ok(), fleet.now)
     fleet.run(1.0)
     assert fleet.offices["10.0.0.2"].board.digest() == one.board.digest() != Digest()
 
