--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -11,7 +11,7 @@
 from ..common.logs import Scribe
 from ..common.settings import Settings
 from ..common.types import ORIGIN
-from . import outcomes
+from . import losses, moves, outcomes
 from .errand import Errand
 from .rules import compile_rules
 from .session import Session, decode, wire_text
@@ -60,7 +60,7 @@
         """
         for record in records:
             for wire in self.yard.take_record(record, now):
-                outcomes.wire_lost(self, wire, "the backend is gone", now, report=False)
+                losses.wire_lost(self, wire, "the backend is gone", now, report=False)
         self.pump_all(now)
 
     @property
@@ -147,7 +147,7 @@
             return
         transaction = session.transaction
         if transaction and transaction.failed and statement.sort not in ("commit", "abort"):
-            code = outcomes.tell_failure(transaction)
+            code = moves.tell_failure(transaction)
             self.reply(session, [f"ERR {code} the transaction has ended"], now)
             return
         SORTS[statement.sort](self, session, statement, now)
@@ -175,7 +175,7 @@
         if errand and errand.stage in ("waiting", "paused"):
             self.end_errand(errand)
         if transaction and transaction.wire and not (errand and errand.stage in ("setup", "run")):
-            outcomes.release(self, transaction.wire, now)
+            moves.release(self, transaction.wire, now)
         session.transaction = None
 
     def send(self, session: Session, *lines: str) -> None:
@@ -337,7 +337,7 @@
         wire.owner = errand
         texts = wire.setup(session.values, errand.statement.prepared, bound)
         if texts is None:
-            outcomes.fail_transaction(self, errand, "ROLLEDBACK", now)
+            moves.fail_transaction(self, errand, "ROLLEDBACK", now)
             return
         if bound and any(text.startswith("SET ") for text in texts):
             transaction.touched = True
--- /dev/null
+++ b/sumacloom/counter/losses.py
@@ -0,0 +1,68 @@
+"""What follows when a wire is lost: resent where that is safe, else the truth about what may have run."""
+from .errand import Errand
+from .moves import drop, fail_transaction, finish, refuse
+from .session import Transaction
+
+MOST_READ_SENDS = 3
+
+
+def wire_lost(floor, wire, why: str, now: float, report: bool = True) -> None:
+    """A wire is gone: its errand is sent again, or told the truth about what may have run.
+
+    >>> wire_lost.__name__
+    'wire_lost'
+    """
+    if wire.key not in floor.wires:
+        return
+    was_idle = wire.open and wire.owner is None and not wire.expected
+    drop(floor, wire)
+    backend = floor.yard.backends.get(wire.backend)
+    if backend and report and not was_idle:
+        floor.yard.note_mishap(backend, now)
+        floor.mishaps.append(wire.backend)
+    owner = wire.owner
+    wire.owner = None
+    if isinstance(owner, Transaction):
+        owner.failed, owner.wire = "ROLLEDBACK", None
+    elif isinstance(owner, Errand):
+        errand_lost(floor, owner, now)
+
+
+def backend_silent(floor, wire, why: str, now: float) -> None:
+    """A wire left our own texts unanswered: the backend is dark, and its idle wires are no better.
+
+    >>> backend_silent.__name__
+    'backend_silent'
+    """
+    backend = floor.yard.backends.get(wire.backend)
+    for idle in list(backend.idle) if backend else []:
+        drop(floor, idle)
+    wire_lost(floor, wire, why, now)
+
+
+def errand_lost(floor, errand, now: float) -> None:
+    """The wire of an errand is gone.
+
+    >>> errand_lost.__name__
+    'errand_lost'
+    """
+    transaction, stage = errand.transaction, errand.stage
+    errand.wire = None
+    if transaction:
+        transaction.wire = None
+    if errand.session.closed:
+        floor.end_errand(errand)
+        return
+    fresh = transaction is None or not transaction.ran
+    harmless = stage == "setup" or (errand.only_reads and errand.sends < MOST_READ_SENDS)
+    if fresh and harmless and now < errand.hold_until:
+        floor.enlist(errand, now)
+    elif transaction and (errand.statement.sort != "commit" or stage != "run"):
+        fail_transaction(floor, errand, "ROLLEDBACK", now)
+    elif stage == "run" and not errand.only_reads:
+        errand.session.transaction = None
+        finish(floor, errand, ["ERR UNKNOWN the backend was lost; it may have run"], now)
+    elif stage == "run":
+        finish(floor, errand, ["ERR FAIL the backend was lost"], now)
+    else:
+        refuse(floor, errand, now)
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -17,9 +17,10 @@
 class Member:
     """Keeps one session standing, and the news fresh."""
 
-    def __init__(self, settings, clock, on_news, mishaps, report):
+    def __init__(self, settings, clock, on_news, yard, mishaps, report):
         self.settings, self.clock, self.on_news = settings, clock, on_news
-        self.mishaps, self.report = mishaps, report
+        self.yard, self.mishaps, self.report = yard, mishaps, report
+        self.shared_at = 0.0
         self.board = Board()
         self.low, self.high = settings.port_range[0], settings.port_range[0] + 1
         self.registrars = [f"{split_address(seed)[0]}:{self.low}" for seed in settings.seeds]
@@ -76,7 +77,9 @@
         if self.session:
             mishaps = sorted(set(self.mishaps))
             self.mishaps.clear()
-            self.session.send(MemberBeat(self.board.digest(), mishaps, self.report()))
+            now = self.clock()
+            sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
+            self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report()))
 
     # ------------------------------------------------------------ the session
     async def attach(self) -> None:
@@ -197,6 +200,7 @@
             self.members = message.members
             self.settled = self.settled or self.clock() - self.started_at > SETTLE_S
             self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
+            self.yard.take_sightings(message.positions, self.clock())
             await self.follow(message.parent)
             self.check_behind(link, message.digest)
 
--- /dev/null
+++ b/sumacloom/counter/moves.py
@@ -0,0 +1,100 @@
+"""The moves that results and losses share: freeing a wire, finishing an errand, failing a transaction."""
+
+
+def release(floor, wire, now: float, touched: bool = False) -> None:
+    """Frees a wire from its errand or transaction.
+
+    >>> release.__name__
+    'release'
+    """
+    wire.owner = None
+    wire.dirty = wire.dirty or touched
+    settle(floor, wire, now)
+
+
+def settle(floor, wire, now: float) -> None:
+    """A wire with nothing outstanding is rolled back if need be, else idle for the next.
+
+    >>> settle.__name__
+    'settle'
+    """
+    if wire.owner is not None or wire.expected or wire.lost or wire.key not in floor.wires:
+        return
+    if wire.state != "I":
+        floor.effects.append(("send", wire.key, wire.ask("clean", "-", "ABORT", now)))
+        return
+    backend = floor.yard.backends.get(wire.backend)
+    if backend is None:
+        drop(floor, wire)
+        return
+    if wire not in backend.idle:
+        wire.idle_since = now
+        backend.idle.append(wire)
+    floor.pump(wire.service, now)
+
+
+def drop(floor, wire) -> None:
+    """Closes a wire and forgets it.
+
+    >>> drop.__name__
+    'drop'
+    """
+    wire.lost = True
+    if floor.wires.pop(wire.key, None) is None:
+        return
+    floor.effects.append(("shut", wire.key))
+    backend = floor.yard.backends.get(wire.backend)
+    if backend and backend.wires.pop(wire.key, None):
+        backend.dialing -= not wire.open
+        if wire in backend.idle:
+            backend.idle.remove(wire)
+
+
+def finish(floor, errand, lines: list[str], now: float, position=None) -> None:
+    """The client's reply; what it sent meanwhile follows.
+
+    >>> finish.__name__
+    'finish'
+    """
+    floor.end_errand(errand)
+    floor.reply(errand.session, lines, now, position)
+    floor.advance(errand.session, now)
+
+
+def fail_transaction(floor, errand, code: str, now: float) -> None:
+    """Ends a transaction whose COMMIT was never sent: nothing of it is kept.
+
+    >>> fail_transaction.__name__
+    'fail_transaction'
+    """
+    transaction, wire, session = errand.transaction, errand.wire, errand.session
+    transaction.failed, transaction.wire = "told", None
+    if errand.statement.sort == "commit":
+        session.transaction = None
+    finish(floor, errand, [f"ERR {code} the transaction was rolled back"], now)
+    if wire:
+        release(floor, wire, now, touched=True)
+
+
+def tell_failure(transaction) -> str:
+    """The code for a statement in a transaction that has ended: the promise first, then MALFORMED.
+
+    >>> from sumacloom.counter.session import Transaction
+    >>> transaction = Transaction(None, "begin", 0.0); transaction.failed = "ROLLEDBACK"
+    >>> tell_failure(transaction), tell_failure(transaction)
+    ('ROLLEDBACK', 'MALFORMED')
+    """
+    code, transaction.failed = transaction.failed, "told"
+    return "MALFORMED" if code == "told" else code
+
+
+def refuse(floor, errand, now: float) -> None:
+    """Gives up an errand that has not run: a promise, and when to come back.
+
+    >>> refuse.__name__
+    'refuse'
+    """
+    if errand.transaction:
+        fail_transaction(floor, errand, "BUSY", now)
+    else:
+        finish(floor, errand, ["ERR BUSY not run; come back in 200 ms"], now)
--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -5,12 +5,12 @@
 """
 from ..common.logs import Scribe
 from .errand import Errand
-from .session import Transaction
+from .losses import MOST_READ_SENDS, wire_lost
+from .moves import drop, fail_transaction, finish, release, settle
 
 scribe = Scribe("wires")
 NOT_RUN = frozenset({"BUSY", "NOSUCH", "LAGGING", "RO", "WRONGHOST", "MAXCONN"})
 BUSY_PAUSE_S = 0.03
-MOST_READ_SENDS = 3
 BARRED_S = 0.5
 
 RESULTS = {}
@@ -245,56 +245,6 @@
         release(floor, wire, now, touched=transaction.touched)
 
 
-def tell_failure(transaction) -> str:
-    """The code for a statement in a transaction that has ended: the promise first, then MALFORMED.
-
-    >>> from sumacloom.counter.session import Transaction
-    >>> transaction = Transaction(None, "begin", 0.0); transaction.failed = "ROLLEDBACK"
-    >>> tell_failure(transaction), tell_failure(transaction)
-    ('ROLLEDBACK', 'MALFORMED')
-    """
-    code, transaction.failed = transaction.failed, "told"
-    return "MALFORMED" if code == "told" else code
-
-
-def fail_transaction(floor, errand, code: str, now: float) -> None:
-    """Ends a transaction whose COMMIT was never sent: nothing of it is kept.
-
-    >>> fail_transaction.__name__
-    'fail_transaction'
-    """
-    transaction, wire, session = errand.transaction, errand.wire, errand.session
-    transaction.failed, transaction.wire = "told", None
-    if errand.statement.sort == "commit":
-        session.transaction = None
-    finish(floor, errand, [f"ERR {code} the transaction was rolled back"], now)
-    if wire:
-        release(floor, wire, now, touched=True)
-
-
-def refuse(floor, errand, now: float) -> None:
-    """Gives up an errand that has not run: a promise, and when to come back.
-
-    >>> refuse.__name__
-    'refuse'
-    """
-    if errand.transaction:
-        fail_transaction(floor, errand, "BUSY", now)
-    else:
-        finish(floor, errand, ["ERR BUSY not run; come back in 200 ms"], now)
-
-
-def finish(floor, errand, lines: list[str], now: float, position=None) -> None:
-    """The client's reply; what it sent meanwhile follows.
-
-    >>> finish.__name__
-    'finish'
-    """
-    floor.end_errand(errand)
-    floor.reply(errand.session, lines, now, position)
-    floor.advance(errand.session, now)
-
-
 @result_of("clean")
 @result_of("stat")
 def own_result(floor, wire, result, now: float) -> None:
@@ -341,114 +291,3 @@
         ground.seeking = now
         data = wire.ask("anchor", "-", "BEGIN", now) + wire.ask("clean", "-", "ABORT", now)
         floor.effects.append(("send", wire.key, data))
-
-
-def release(floor, wire, now: float, touched: bool = False) -> None:
-    """Frees a wire from its errand or transaction.
-
-    >>> release.__name__
-    'release'
-    """
-    wire.owner = None
-    wire.dirty = wire.dirty or touched
-    settle(floor, wire, now)
-
-
-def settle(floor, wire, now: float) -> None:
-    """A wire with nothing outstanding is rolled back if need be, else idle for the next.
-
-    >>> settle.__name__
-    'settle'
-    """
-    if wire.owner is not None or wire.expected or wire.lost or wire.key not in floor.wires:
-        return
-    if wire.state != "I":
-        floor.effects.append(("send", wire.key, wire.ask("clean", "-", "ABORT", now)))
-        return
-    backend = floor.yard.backends.get(wire.backend)
-    if backend is None:
-        drop(floor, wire)
-        return
-    if wire not in backend.idle:
-        wire.idle_since = now
-        backend.idle.append(wire)
-    floor.pump(wire.service, now)
-
-
-def drop(floor, wire) -> None:
-    """Closes a wire and forgets it.
-
-    >>> drop.__name__
-    'drop'
-    """
-    wire.lost = True
-    if floor.wires.pop(wire.key, None) is None:
-        return
-    floor.effects.append(("shut", wire.key))
-    backend = floor.yard.backends.get(wire.backend)
-    if backend and backend.wires.pop(wire.key, None):
-        backend.dialing -= not wire.open
-        if wire in backend.idle:
-            backend.idle.remove(wire)
-
-
-def wire_lost(floor, wire, why: str, now: float, report: bool = True) -> None:
-    """A wire is gone: its errand is sent again, or told the truth about what may have run.
-
-    >>> wire_lost.__name__
-    'wire_lost'
-    """
-    if wire.key not in floor.wires:
-        return
-    was_idle = wire.open and wire.owner is None and not wire.expected
-    drop(floor, wire)
-    backend = floor.yard.backends.get(wire.backend)
-    if backend and report and not was_idle:
-        floor.yard.note_mishap(backend, now)
-        floor.mishaps.append(wire.backend)
-    owner = wire.owner
-    wire.owner = None
-    if isinstance(owner, Transaction):
-        owner.failed, owner.wire = "ROLLEDBACK", None
-    elif isinstance(owner, Errand):
-        errand_lost(floor, owner, now)
-
-
-def backend_silent(floor, wire, why: str, now: float) -> None:
-    """A wire left our own texts unanswered: the backend is dark, and its idle wires are no better.
-
-    >>> backend_silent.__name__
-    'backend_silent'
-    """
-    backend = floor.yard.backends.get(wire.backend)
-    for idle in list(backend.idle) if backend else []:
-        drop(floor, idle)
-    wire_lost(floor, wire, why, now)
-
-
-def errand_lost(floor, errand, now: float) -> None:
-    """The wire of an errand is gone.
-
-    >>> errand_lost.__name__
-    'errand_lost'
-    """
-    transaction, stage = errand.transaction, errand.stage
-    errand.wire = None
-    if transaction:
-        transaction.wire = None
-    if errand.session.closed:
-        floor.end_errand(errand)
-        return
-    fresh = transaction is None or not transaction.ran
-    harmless = stage == "setup" or (errand.only_reads and errand.sends < MOST_READ_SENDS)
-    if fresh and harmless and now < errand.hold_until:
-        floor.enlist(errand, now)
-    elif transaction and (errand.statement.sort != "commit" or stage != "run"):
-        fail_transaction(floor, errand, "ROLLEDBACK", now)
-    elif stage == "run" and not errand.only_reads:
-        errand.session.transaction = None
-        finish(floor, errand, ["ERR UNKNOWN the backend was lost; it may have run"], now)
-    elif stage == "run":
-        finish(floor, errand, ["ERR FAIL the backend was lost"], now)
-    else:
-        refuse(floor, errand, now)
--- a/sumacloom/counter/rotation.py
+++ b/sumacloom/counter/rotation.py
@@ -12,20 +12,22 @@
 
 scribe = Scribe("rotation")
 CHART = load_chart("replica")
+TIP_STEP_S = 0.25
+SHOWN = 1.2         # sweeps: a position shown so lately, here or by way of the registrars, spares a STAT
 LEAST_SOFT, LEAST_HARD = 3, 8      # positions; the source's own figures, kept as least widths
 
 
 class Replica:
     """What a counter knows of one replica's freshness."""
 
-    __slots__ = ("name", "state", "position", "lag", "seen_at", "soft_since", "band_since")
+    __slots__ = ("name", "state", "position", "lag", "seen_at", "own_at", "soft_since", "band_since")
 
     def __init__(self, name: str):
         self.name = name
         self.state = CHART.start
         self.position = ORIGIN
         self.lag = 0
-        self.seen_at = None
+        self.seen_at = self.own_at = None
         self.soft_since = self.band_since = 0.0
 
 
@@ -38,12 +40,13 @@
     ['a', 'b']
     """
 
-    def __init__(self, health: Health):
+    def __init__(self, health: Health, turn: float = 0.0):
         self.health = health
         self.replicas = {}
         self.tip = ORIGIN
         self.tips = deque(maxlen=32)
         self.frozen = False
+        self.turn = turn             # 0 to 1: who sweeps first differs by counter and service, and spares the rest
 
     def bands(self) -> tuple[int, int]:
         """The soft and the hard width in positions, from the commit rate seen.
@@ -61,8 +64,10 @@
             max(LEAST_HARD, round(rate * self.health.hard_lag_ms / 1000)),
         )
 
-    def see(self, name: str, position: Position, now: float) -> None:
-        """Takes a position read from a replica, by a sweep or by ordinary traffic.
+    def see(self, name: str, position: Position, now: float, own: bool = True) -> None:
+        """Takes a position read from a replica, by a sweep, by ordinary traffic, or seen by another counter.
+
+        The lag is counted against the freshest replica as it stood at the moment of that reading.
 
         >>> rotation = Rotation(Health())
         >>> rotation.see("a", Position(1, 50), 0.0); rotation.see("b", Position(1, 1), 0.1)
@@ -74,15 +79,19 @@
         replica = self.replicas.get(name)
         if replica is None:
             replica = self.replicas[name] = Replica(name)
+        if replica.seen_at is not None and now < replica.seen_at:
+            return
         if position > self.tip:
-            if not self.tips or now - self.tips[-1][0] >= 0.25 or position.term != self.tip.term:
+            if not self.tips or now - self.tips[-1][0] >= TIP_STEP_S or position.term != self.tip.term:
                 self.tips.append((now, position))
             self.tip = position
+        tip = self.tip_at(now)
         first = replica.seen_at is None
         replica.position, replica.seen_at = position, now
-        behind = self.tip.term != position.term
+        replica.own_at = now if own else replica.own_at
+        behind = tip.term > position.term
         soft, hard = self.bands()
-        replica.lag = hard if behind else self.tip.number - position.number
+        replica.lag = hard if behind else max(0, tip.number - position.number)
         if replica.lag <= soft:
             self.apply(replica, "first" if first else "band", now)
             if replica.state == "staying" and now - replica.band_since >= self.health.readmit_s:
@@ -95,6 +104,17 @@
         else:
             self.apply(replica, "hard", now)
 
+    def tip_at(self, moment: float) -> Position:
+        """The freshest position known at a moment.
+
+        >>> rotation = Rotation(Health()); rotation.see("a", Position(1, 5), 1.0); rotation.see("a", Position(1, 9), 2.0)
+        >>> rotation.tip_at(1.5), rotation.tip_at(2.5)
+        (Position(term=1, number=5), Position(term=1, number=9))
+        """
+        if not self.tips or moment >= self.tips[-1][0] + TIP_STEP_S:
+            return self.tip
+        return max((position for seen, position in self.tips if seen <= moment), default=ORIGIN)
+
     def silent(self, name: str, now: float) -> None:
         """A sweep or a wire of that replica got no answer.
 
@@ -146,4 +166,4 @@
         True
         """
         replica = self.replicas.get(name)
-        return replica is None or replica.seen_at is None or now - replica.seen_at >= self.health.sweep_s * 0.9
+        return replica is None or replica.seen_at is None or now - replica.seen_at >= self.health.sweep_s * (SHOWN + self.turn)
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -9,7 +9,7 @@
 from ..common.settings import Settings, read_settings, split_address
 from ..courier.board import Board
 from ..courier.links import Outlet, dial, listen, tune
-from . import outcomes, upkeep
+from . import losses, outcomes, upkeep
 from .floor import Floor
 from .member import Member
 
@@ -31,7 +31,7 @@
         self.most_sessions = max(64, settings.limits.nofile - KEPT_DESCRIPTORS)
         self.over = False
         self.signals = Signals().listen()
-        self.member = Member(settings, self.now, self.take_news, self.floor.mishaps, lambda: None)
+        self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, lambda: None)
 
     @staticmethod
     def now() -> float:
@@ -131,7 +131,7 @@
         self.outlets.pop(key, None)
         wire = self.floor.wires.get(key)
         if wire:
-            outcomes.wire_lost(self.floor, wire, why, self.now())
+            losses.wire_lost(self.floor, wire, why, self.now())
             if self.floor.mishaps:
                 self.member.beat()
         await self.act()
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -1,6 +1,6 @@
 """What a counter does by the clock: cutoffs, sweeps, warm wires, leaving in order."""
 from ..common.logs import Scribe
-from . import outcomes
+from . import losses, moves
 from .floor import LEAVING, Floor
 
 scribe = Scribe("upkeep")
@@ -11,7 +11,8 @@
 UNLISTED_S = 2.3
 LOGIN_CUTOFF_S = 5.0
 WARM_EVERY_S = 0.5
-HELD_SHARE = 0.45      # of the statement's time: how long it is held for a backend to come
+HELD_SHARE = 0.45      # of its aim: how long a statement is held for a backend to come
+MOST_HELD = 0.9        # and of its time-out
 LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
 HELD_LONG = 0.2        # it is held for this share of its aim only
 
@@ -61,8 +62,9 @@
     ground = floor.yard.ground(errand.rule.service)
     headless = ground.headless_since is not None and now - ground.headless_since >= LONG_OUTAGE_S
     held = now - errand.received
-    if held >= errand.rule.statement_s * HELD_SHARE or (headless and held >= errand.rule.goal_s * HELD_LONG):
-        outcomes.refuse(floor, errand, now)
+    share = HELD_LONG if headless else HELD_SHARE
+    if held >= min(errand.rule.goal_s * share, errand.rule.statement_s * MOST_HELD):
+        moves.refuse(floor, errand, now)
 
 
 @stage("setup")
@@ -73,7 +75,7 @@
     True
     """
     if now - errand.ran_at >= SETUP_CUTOFF_S or now >= errand.cutoff:
-        outcomes.backend_silent(floor, errand.wire, "its setup went unanswered", now)
+        losses.backend_silent(floor, errand.wire, "its setup went unanswered", now)
 
 
 @stage("paused")
@@ -84,7 +86,7 @@
     True
     """
     if now >= errand.cutoff:
-        outcomes.fail_transaction(floor, errand, "BUSY", now)
+        moves.fail_transaction(floor, errand, "BUSY", now)
     elif now >= errand.pause_until:
         floor.run(errand, now)
 
@@ -102,12 +104,12 @@
             errand.transaction.failed, errand.transaction.wire = "told", None
             if errand.statement.sort == "commit":
                 session.transaction = None
-        outcomes.finish(floor, errand, ["ERR TIMEDOUT the statement took too long"], now)
+        moves.finish(floor, errand, ["ERR TIMEDOUT the statement took too long"], now)
         wire.owner = None
-        outcomes.wire_lost(floor, wire, "a statement took too long", now)
+        losses.wire_lost(floor, wire, "a statement took too long", now)
     elif (errand.only_reads and errand.transaction is None and errand.sends < 2
           and now - errand.ran_at >= READ_AGAIN_S):
-        outcomes.wire_lost(floor, wire, "a read took too long", now)
+        losses.wire_lost(floor, wire, "a read took too long", now)
 
 
 def end_resting(floor, now: float) -> None:
@@ -126,7 +128,7 @@
             closed = backend is not None and floor.yard.closed_to_new(backend, now)
             if closed or now - transaction.rested_at >= rest_s:
                 wire, transaction.wire, transaction.failed = transaction.wire, None, "ROLLEDBACK"
-                outcomes.release(floor, wire, now, touched=transaction.touched)
+                moves.release(floor, wire, now, touched=transaction.touched)
 
 
 def check_wires(floor, now: float) -> None:
@@ -141,7 +143,7 @@
         and now - (wire.asked_at if wire.open else wire.opened_at) >= (OWN_CUTOFF_S if wire.open else DIAL_CUTOFF_S)
     ]
     for wire in late:
-        outcomes.wire_lost(floor, wire, "it went silent", now)
+        losses.wire_lost(floor, wire, "it went silent", now)
 
 
 def warm(floor, now: float) -> None:
@@ -231,7 +233,7 @@
                 transaction = session.transaction
                 if transaction and session.errand is None:
                     if transaction.wire:
-                        outcomes.release(floor, transaction.wire, now, touched=True)
+                        moves.release(floor, transaction.wire, now, touched=True)
                     transaction.wire = None
                     transaction.failed = transaction.failed or "ROLLEDBACK"
         elif action == "exit":
--- a/sumacloom/counter/verbs.py
+++ b/sumacloom/counter/verbs.py
@@ -1,5 +1,5 @@
 """What each sort of statement does; all but reads, writes and COMMIT are answered here."""
-from . import outcomes
+from . import moves
 from .session import MOST_VALUES, Session, Transaction
 
 SORTS = {}
@@ -77,7 +77,7 @@
         floor.reply(session, ["ERR MALFORMED no transaction is open"], now)
         return
     if transaction.wire:
-        outcomes.release(floor, transaction.wire, now, touched=transaction.touched)
+        moves.release(floor, transaction.wire, now, touched=transaction.touched)
     floor.reply(session, ["DONE -"], now)
 
 
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -1,7 +1,10 @@
 """The backends a counter knows, their wires, and which of them may be drawn."""
+import zlib
+
 from ..common.logs import Scribe
 from ..common.settings import Settings, split_address
 from ..common.types import ORIGIN, Position
+from ..courier.messages import Sighting
 from .anchors import Anchors
 from .rotation import Rotation
 from .wire import Wire
@@ -44,10 +47,10 @@
 
     __slots__ = ("name", "backends", "rotation", "anchors", "seeking", "swept_at", "lead_seen", "lead_name", "headless_since")
 
-    def __init__(self, name: str, health):
+    def __init__(self, name: str, health, turn: float):
         self.name = name
         self.backends = {}
-        self.rotation = Rotation(health)
+        self.rotation = Rotation(health, turn)
         self.anchors = Anchors()
         self.seeking = self.headless_since = None
         self.swept_at = -1e9
@@ -88,7 +91,8 @@
         'svc'
         """
         if service not in self.grounds:
-            self.grounds[service] = Ground(service, self.settings.health)
+            turn = zlib.crc32(f"{self.settings.node} {service}".encode()) / 2 ** 32
+            self.grounds[service] = Ground(service, self.settings.health, turn)
         return self.grounds[service]
 
     def take_record(self, record, now: float) -> list[Wire]:
@@ -292,6 +296,31 @@
             ground.lead_seen = max(ground.lead_seen, position)
             ground.anchors.note(asked_at, position)
 
+    def sightings(self, since: float, now: float) -> list[Sighting]:
+        """The positions of replicas that this counter itself read after a moment.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).sightings(0.0, 1.0)
+        []
+        """
+        return [
+            Sighting(replica.name, *replica.position, int((now - replica.seen_at) * 1000))
+            for ground in self.grounds.values() for replica in ground.rotation.replicas.values()
+            if replica.own_at is not None and replica.own_at > since
+        ]
+
+    def take_sightings(self, sightings: list[Sighting], now: float) -> None:
+        """Positions that other counters read.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).take_sightings([], 1.0)
+        """
+        for sighting in sightings:
+            backend = self.backends.get(sighting.backend)
+            if backend and backend.role != "primary" and backend.phase != "gone":
+                rotation = self.ground(backend.service).rotation
+                if sighting.backend in rotation.replicas:
+                    rotation.see(sighting.backend, Position(sighting.term, sighting.number),
+                                 now - sighting.age_ms / 1000, own=False)
+
     def note_refusal(self, backend: Backend, now: float) -> None:
         """The backend said RO: it does not lead.
 
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -46,6 +46,19 @@
     records: int = 0
 
 
+class Sighting(msgspec.Struct, array_like=True, frozen=True):
+    """A replica's position as some counter saw it, and how long ago in ms.
+
+    >>> Sighting("i-1", 3, 1207, 40).number
+    1207
+    """
+
+    backend: str
+    term: int
+    number: int
+    age_ms: int
+
+
 class Message(msgspec.Struct, array_like=True, tag=True):
     pass
 
@@ -63,8 +76,8 @@
 
     digest: Digest
     mishaps: list[str] = []
+    positions: list[Sighting] = []
     report: dict | None = None
-    leaving: bool = False
 
 
 class RegistrarBeat(Message):
@@ -74,6 +87,7 @@
     members: int
     parent: str
     registrars: list[str]
+    positions: list[Sighting] = []
     want_report: bool = False
     log_level: str = ""
 
@@ -94,17 +108,21 @@
 
 
 class PeerBeat(Message):
-    """Between registrars: what is decided, who is in session, which backends were heard."""
+    """Between registrars: what is decided, who is in session, which backends were heard.
+
+    What rarely changes is told when it does, and now and then for those who missed it.
+    """
 
-    decided: dict[str, Ballot]
-    sessions: list[tuple[str, str, str]]     # node, zone, address
-    heard: dict[str, float]                  # backend: ms since its last beat here
-    dark: dict[str, float]                   # backend: ms since probes first failed here
+    decided: dict[str, Ballot] | None        # None: as last told
+    sessions: list[tuple[str, str, str]] | None   # node, zone, address; None: as last told
+    heard: dict[str, int]                    # backend: ms since its last beat; only those heard anew
+    dark: dict[str, int]                     # backend: ms since probes first failed here
     hears: list[str]
     records: list[Record] | None
     digest: int                              # of the records held
     learned: bool
     suspects: list[str] = []
+    positions: list[Sighting] = []
 
 
 class Prepare(Message):
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -133,6 +133,6 @@
         office.tell_records(office.roster.take_records(message.records, now), now)
     elif message.digest != office.board.known_digest and office.board.records:
         office.outbox.append((peer, office.peer_beat(now, list(office.board.records.values()))))
-    for key, ballot in message.decided.items():
+    for key, ballot in (message.decided or {}).items():
         if Ballot(*ballot) > office.decided.get(key, (NO_BALLOT,))[0]:
             hear_decided(office, peer, Decided(key, Ballot(*ballot)), now)
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -20,6 +20,7 @@
 scribe = Scribe("office")
 ALIVE_S = 1.1
 PEER_BEAT_S = 0.35
+WHOLE_S = 1.0
 FINISH_S = 0.6
 ASK_S = 0.3
 
@@ -42,7 +43,8 @@
         self.peers: dict[str, tuple] = {}          # peer ip: (heard at, PeerBeat)
         self.duty: DutyValue | None = None
         self.duty_vacant_since, self.unfit_until = None, -1e9
-        self.beaten_at = self.finished_at = -1e9
+        self.beaten_at = self.finished_at = self.shared_at = self.told_whole_at = -1e9
+        self.told_state = None
         self.told_suspects: set[str] = set()
         self.acceptor = self.open_acceptor()
         self.started_at = now
@@ -232,18 +234,18 @@
         """
         return peer == self.me or now - self.peers.get(peer, (-1e9,))[0] < ALIVE_S
 
-    def peer_beat(self, now: float, records=None) -> PeerBeat:
-        """This registrar's heartbeat for its peers.
+    def peer_beat(self, now: float, records=None, positions=None, whole: bool | None = None) -> PeerBeat:
+        """This registrar's heartbeat for its peers; `whole` with what rarely changes, None out of turn.
 
         >>> Office.peer_beat.__name__
         'peer_beat'
         """
         return PeerBeat(
-            {key: ballot for key, (ballot, _value) in self.decided.items()},
-            [(node, zone, address) for node, (zone, address, _heard) in self.roster.sessions.items()],
-            self.roster.heard_ages(now), self.roster.dark_ages(now),
+            {key: ballot for key, (ballot, _value) in self.decided.items()} if whole else None,
+            [(node, zone, address) for node, (zone, address, _heard) in self.roster.sessions.items()] if whole else None,
+            self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
             [peer for peer in self.others() if self.alive(peer, now)],
-            records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects),
+            records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
         )
 
     def tell_records(self, records: list, now: float) -> None:
@@ -270,7 +272,14 @@
             self.tell_all(Tell())
         if now - self.beaten_at >= PEER_BEAT_S:
             self.beaten_at = now
-            self.tell_all(self.peer_beat(now))
+            state = (len(self.decided), self.duty, self.board.evacuations, sorted(self.roster.sessions),
+                     [self.alive(peer, now) for peer in self.others()])
+            whole = state != self.told_state or now - self.told_whole_at >= WHOLE_S
+            if whole:
+                self.told_state, self.told_whole_at = state, now
+            sightings = self.roster.sightings(self.shared_at, now, own=True)
+            self.tell_all(self.peer_beat(now, None, sightings, whole))
+            self.shared_at = now
             self.told_suspects.clear()
             self.tell_records(self.roster.sweep(now), now)
         if self.acceptor.learned and now - self.finished_at >= FINISH_S:
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -1,11 +1,12 @@
 """Backends and members as one registrar knows them: beats, tombstones, sessions, suspicions."""
 import msgspec
+from msgspec import structs
 
 from ..common.logs import Scribe
 from ..common.results import Err, Ok, Result, mishap
 from ..common.settings import split_address
 from ..courier.board import Board
-from ..courier.messages import Record
+from ..courier.messages import Record, Sighting
 
 scribe = Scribe("roster")
 TOMBSTONE_S = 60.0
@@ -13,6 +14,8 @@
 SILENT_S = 30.0
 SESSION_S = 2.5
 SUSPECT_S = 3.0
+SIGHT_S = 2.0
+HEARD_STEP_S = 0.1
 
 
 class Beat(msgspec.Struct, rename="camel"):
@@ -33,11 +36,13 @@
         self.board = board
         self.last_seq: dict[str, int] = {}
         self.heard_at: dict[str, float] = {}       # by any registrar, on our clock
+        self.heard_told: dict[str, float] = {}     # when we learned so
         self.gone_at: dict[str, float] = {}
         self.sessions: dict[str, tuple] = {}       # node: (zone, address, heard at)
         self.peer_sessions: dict[str, tuple] = {}  # peer: (heard at, [(node, zone, address)])
         self.suspected: dict[str, float] = {}      # backend: when a counter last told of a mishap
         self.probed: dict[str, float] = {}         # backend: since when our probes fail
+        self.sighted: dict[str, tuple] = {}        # replica: (seen at, position, told here first)
         self.peer_dark: dict[str, dict] = {}       # peer: {backend: since when, on our clock}
 
     def beat(self, name: str, body: bytes, now: float) -> Result:
@@ -63,7 +68,8 @@
             if now - self.heard_at.get(name, -1e9) < NEW_LIFE_S or held is None:
                 return Ok(None)
             life += 1
-        self.last_seq[name], self.heard_at[name] = beat.seq, now
+        self.last_seq[name] = beat.seq
+        self.hear_backend(name, now, now)
         fresh = Record(name, beat.svc, beat.addr, beat.az, beat.slots, beat.phase,
                        "primary" if beat.dbrole == "primary" else "replica", beat.cold_left_ms, life, beat.seq)
         if held and self.same(held, fresh):
@@ -135,15 +141,41 @@
         >>> Roster.hear_peer.__name__
         'hear_peer'
         """
-        self.peer_sessions[peer] = (now, beat.sessions)
+        sessions = beat.sessions if beat.sessions is not None else self.peer_sessions.get(peer, (now, []))[1]
+        self.peer_sessions[peer] = (now, sessions)
         self.peer_dark[peer] = {name: now - dark / 1000 for name, dark in beat.dark.items()}
         for name, age in beat.heard.items():
             heard = now - age / 1000
-            if heard > self.heard_at.get(name, -1e9):
-                self.heard_at[name] = heard
+            if heard > self.heard_at.get(name, -1e9) + HEARD_STEP_S:
+                self.hear_backend(name, heard, now)
+        self.take_sightings(beat.positions, now, own=False)
         for name in beat.suspects:
             self.suspect(name, now)
 
+    def take_sightings(self, sightings: list[Sighting], now: float, own: bool) -> None:
+        """Positions that counters read; the newest of each replica is kept.
+
+        >>> roster = Roster(Board()); roster.take_sightings([Sighting("i", 3, 9, 500)], 1.0, True)
+        >>> roster.sightings(0.0, 1.0, own=True)
+        [Sighting(backend='i', term=3, number=9, age_ms=500)]
+        """
+        for sighting in sightings:
+            seen = now - sighting.age_ms / 1000
+            if seen > self.sighted.get(sighting.backend, (-1e9,))[0]:
+                self.sighted[sighting.backend] = (seen, sighting, now, own)
+
+    def sightings(self, since: float, now: float, own: bool = False) -> list[Sighting]:
+        """The positions that came in after a moment; with `own`, only those our counters told.
+
+        >>> Roster(Board()).sightings(0.0, 1.0)
+        []
+        """
+        return [
+            structs.replace(sighting, age_ms=int((now - seen) * 1000))
+            for seen, sighting, came, ours in self.sighted.values()
+            if came > since and now - seen < SIGHT_S and (ours or not own)
+        ]
+
     def suspect(self, name: str, now: float) -> None:
         """A counter told of a mishap with this backend.
 
@@ -166,15 +198,22 @@
                 or record.name in self.probed)
         ]
 
-    def heard_ages(self, now: float) -> dict[str, float]:
-        """For the peers: how long ago each backend was heard, in ms.
+    def hear_backend(self, name: str, heard: float, now: float) -> None:
+        """A backend was heard at a moment, here or by a peer.
+
+        >>> roster = Roster(Board()); roster.hear_backend("i", 1.0, 1.1); roster.heard_ages(1.0, 1.5)
+        {'i': 500}
+        """
+        self.heard_at[name], self.heard_told[name] = heard, now
+
+    def heard_ages(self, since: float, now: float) -> dict[str, int]:
+        """For the peers: how long ago backends were heard, in ms; only what came in after a moment.
 
-        >>> Roster(Board()).heard_ages(0.0)
+        >>> Roster(Board()).heard_ages(0.0, 0.0)
         {}
         """
         return {
-            name: round((now - heard) * 1000) for name, heard in self.heard_at.items()
-            if now - heard < 5.0 and name in self.board.records
+            name: round((now - self.heard_at[name]) * 1000) for name, told in self.heard_told.items() if told > since
         }
 
     def dark_ages(self, now: float) -> dict[str, float]:
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -140,7 +140,7 @@
         """
         tune(sock._socket)
         link = Link(sock)
-        link.parent = ""
+        link.parent, link.shared_at = "", 0.0
         try:
             async for message in link.messages():
                 now = self.now()
@@ -181,6 +181,7 @@
         self.counters[node] = link
         link.digest = message.digest
         link.report = message.report or getattr(link, "report", None)
+        office.roster.take_sightings(message.positions, now, own=True)
         for name in message.mishaps:
             if name not in office.roster.suspected or now - office.roster.suspected[name] > 0.5:
                 office.roster.suspect(name, now)
@@ -189,7 +190,9 @@
         link.parent = office.roster.parent(node, self.settings.zone, FAN, now)
         registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
         members = max(1, len(office.roster.members(now)))
-        link.send(RegistrarBeat(office.board.digest(), members, link.parent, registrars))
+        sightings = office.roster.sightings(link.shared_at, now)
+        link.shared_at = now
+        link.send(RegistrarBeat(office.board.digest(), members, link.parent, registrars, sightings))
 
     # ------------------------------------------------------------ the duty
     def may_act(self) -> bool:
