--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -4,7 +4,7 @@
 from .floor import LEAVING, Floor
 
 scribe = Scribe("upkeep")
-SETUP_CUTOFF_S = 0.4
+SETUP_CUTOFF_S = 0.25
 OWN_CUTOFF_S = 0.8
 DIAL_CUTOFF_S = 0.8
 READ_AGAIN_S = 0.9
