--- a/sumacloom/common/settings.py
+++ b/sumacloom/common/settings.py
@@ -139,6 +139,45 @@
     return Ok(settings)
 
 
+class FileWatch:
+    """Notices that the settings file changed, with or without a signal.
+
+    >>> FileWatch("/nowhere").changed(1.0)
+    False
+    """
+
+    EVERY_S = 1.0
+
+    def __init__(self, path: str = ""):
+        self.path = path or os.environ.get(VARIABLE, "")
+        self.looked_at = 0.0
+        self.seen = self.look()
+
+    def look(self):
+        """What tells one state of the file from another.
+
+        >>> FileWatch("/nowhere").look() is None
+        True
+        """
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+    def changed(self, now: float) -> bool:
+        """Whether the file is another than at the last look; looks once a second.
+
+        >>> FileWatch("/nowhere").changed(0.5)
+        False
+        """
+        if now - self.looked_at < self.EVERY_S:
+            return False
+        self.looked_at = now
+        seen, self.seen = self.seen, self.look()
+        return self.seen is not None and self.seen != seen
+
+
 def read_settings(role: str, path: str = "") -> Result:
     """Reads the file that the variable names, or the path given.
 
--- a/sumacloom/counter/losses.py
+++ b/sumacloom/counter/losses.py
@@ -59,10 +59,32 @@
         floor.enlist(errand, now)
     elif transaction and (errand.statement.sort != "commit" or stage != "run"):
         fail_transaction(floor, errand, "ROLLEDBACK", now)
-    elif stage == "run" and not errand.only_reads:
+    else:
+        tell_truth(floor, errand, now)
+
+
+def tell_truth(floor, errand, now: float) -> None:
+    """The final word on an errand outside a living transaction: a promise only if nothing ran.
+
+    >>> tell_truth.__name__
+    'tell_truth'
+    """
+    if errand.stage != "run":
+        refuse(floor, errand, now)
+    elif errand.only_reads:
+        finish(floor, errand, ["ERR FAIL the backend was lost"], now)
+    else:
         errand.session.transaction = None
         finish(floor, errand, ["ERR UNKNOWN the backend was lost; it may have run"], now)
-    elif stage == "run":
-        finish(floor, errand, ["ERR FAIL the backend was lost"], now)
+
+
+def errand_ended(floor, errand, now: float) -> None:
+    """This process is about to end: nothing asked stays without a word.
+
+    >>> errand_ended.__name__
+    'errand_ended'
+    """
+    if errand.transaction and not (errand.statement.sort == "commit" and errand.stage == "run"):
+        fail_transaction(floor, errand, "ROLLEDBACK", now)
     else:
-        refuse(floor, errand, now)
+        tell_truth(floor, errand, now)
--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -187,7 +187,8 @@
     if not isinstance(errand, Errand) or errand.stage != "run":
         settle(floor, wire, now)
         return
-    proves = not result.code and errand.plan[0] == "lead"
+    # a COMMIT that wrote nothing succeeds even where the lead was lost: it proves nothing
+    proves = not result.code and errand.plan[0] == "lead" and errand.statement.sort != "commit"
     if proves and backend:
         floor.yard.prove_lead(backend, result.asked_at, result.position, now)
     if errand.session.closed:
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -6,9 +6,9 @@
 from ..common import http
 from ..common.logs import Scribe
 from ..common.signals import Signals
-from ..common.settings import Settings, read_settings, split_address
+from ..common.settings import FileWatch, Settings, read_settings, split_address
 from ..courier.board import Board
-from ..courier.links import Outlet, dial, listen, tune
+from ..courier.links import Outlet, dial, kept, listen, tune
 from . import losses, outcomes, upkeep
 from .floor import Floor
 from .member import Member
@@ -31,6 +31,7 @@
         self.most_sessions = max(64, settings.limits.nofile - KEPT_DESCRIPTORS)
         self.over = False
         self.signals = Signals().listen()
+        self.watch = FileWatch()
         self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, lambda: None)
 
     @staticmethod
@@ -192,7 +193,7 @@
         """
         while not self.over:
             await curio.sleep(TICK_S)
-            if self.signals.take_hangup():
+            if self.signals.take_hangup() or self.watch.changed(self.now()):
                 self.reread()
             if self.signals.ending:
                 upkeep.sigterm(self.floor, self.now())
@@ -259,10 +260,10 @@
         settings = self.settings
         for name, serve in (("fe", self.run_session), ("readyz", self.serve_ready)):
             sock = listen(*split_address(getattr(settings.listen, name)))
-            await curio.spawn(self.accept, sock, serve, daemon=True)
-        await curio.spawn(self.member.serve_children, daemon=True)
-        await curio.spawn(self.member.attach, daemon=True)
+            await curio.spawn(kept, scribe, self.accept, sock, serve, daemon=True)
+        await curio.spawn(kept, scribe, self.member.serve_children, daemon=True)
+        await curio.spawn(kept, scribe, self.member.attach, daemon=True)
         scribe.say("serving at %s", settings.listen.fe)
-        await self.clock()
+        await kept(scribe, self.clock)
         scribe.say("gone")
         return 0
--- a/sumacloom/counter/wire.py
+++ b/sumacloom/counter/wire.py
@@ -6,7 +6,7 @@
 from ..common.types import Position, read_position
 
 MOST_NAMES = 200
-MOST_ROWS = 8 << 20
+MOST_ROWS = 3 << 20
 
 
 class WireResult(NamedTuple):
--- a/sumacloom/courier/links.py
+++ b/sumacloom/courier/links.py
@@ -7,7 +7,7 @@
 from .messages import Unframer, frame
 
 USER_TIMEOUT_MS = 1500
-MOST_PENDING = 8 << 20
+MOST_PENDING = 4 << 20
 
 
 def tune(raw: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
@@ -40,6 +40,21 @@
     return sock
 
 
+async def kept(scribe, function, *values) -> None:
+    """Runs a task for good: a mishap in it is logged, and it begins again.
+
+    >>> kept.__name__
+    'kept'
+    """
+    while True:
+        try:
+            await function(*values)
+            return
+        except Exception as error:  # noqa: BLE001  (a daemon outlives a mistake in one of its tasks)
+            scribe.warn("%s ended with %s: %s; it begins again", function.__name__, type(error).__name__, error)
+            await curio.sleep(0.1)
+
+
 def listen(host: str, port: int, backlog: int = 256):
     """A listening socket.
 
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -7,8 +7,8 @@
 from ..common import http
 from ..common.logs import Scribe
 from ..common.signals import Signals
-from ..common.settings import Settings, read_settings, split_address
-from ..courier.links import Link, dial, listen, tune
+from ..common.settings import FileWatch, Settings, read_settings, split_address
+from ..courier.links import Link, dial, kept, listen, tune
 from ..courier.messages import Follow, Hello, MemberBeat, RegistrarBeat
 from ..ledger.log import Ledger
 from . import ctl, duties
@@ -37,6 +37,7 @@
         self.plans, self.probing = {}, set()
         self.nobody_since: dict[str, float] = {}
         self.signals = Signals().listen()
+        self.watch = FileWatch()
         self.port = settings.port_range[0]
 
     @staticmethod
@@ -280,7 +281,7 @@
         """
         while not self.signals.ending:
             await curio.sleep(TICK_S)
-            if self.signals.take_hangup():
+            if self.signals.take_hangup() or self.watch.changed(self.now()):
                 self.reread()
             now = self.now()
             self.office.tick(now)
@@ -335,12 +336,12 @@
         """
         settings = self.settings
         host, port = split_address(settings.listen.ctl)
-        await curio.spawn(self.accept, listen(host, port), self.serve_ctl, daemon=True)
-        await curio.spawn(self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
+        await curio.spawn(kept, scribe, self.accept, listen(host, port), self.serve_ctl, daemon=True)
+        await curio.spawn(kept, scribe, self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
         for peer in self.office.others():
-            await curio.spawn(self.keep_link, peer, daemon=True)
+            await curio.spawn(kept, scribe, self.keep_link, peer, daemon=True)
         scribe.say("serving at %s", settings.listen.ctl)
-        await self.clock()
+        await kept(scribe, self.clock)
         scribe.say("leaving")
         cutoff = self.now() + settings.bounds.grace_s / 3
         while self.waiting and self.now() < cutoff:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -352,3 +352,39 @@
     assert 2 in stage.shut
     stage.tick(0.05)
     assert stage.floor.leaving == "gone"
+
+
+def test_a_commit_that_wrote_nothing_proves_no_lead():
+    """An ex-primary still commits an empty transaction: its position must not become an anchor."""
+    stage = Stage()
+    lead, *_others = stage.warm()
+    stage.client(1, "books")
+    stage.say(1, "QUERY 1 BEGIN")
+    stage.say(1, "QUERY 2 COMMIT")
+    stage.answer(lead, "DONE -", "READY T 1.11")
+    stage.now += 5.0
+    before = list(stage.floor.yard.ground("svc").anchors.dated)
+    stage.answer(lead, "DONE 7.1", "READY I 1.11")
+    assert list(stage.floor.yard.ground("svc").anchors.dated) == before
+
+
+ENDS = [
+    (["QUERY 1 PUT a b"], "ERR UNKNOWN"), (["QUERY 1 FETCH a"], "ERR BUSY"),
+    (["QUERY 1 BEGIN", "QUERY 2 PUT a b"], "ERR ROLLEDBACK"),
+]
+
+
+@pytest.mark.parametrize("lines, expected", ENDS)
+def test_at_the_last_moment_of_leaving_nothing_asked_stays_without_a_word(lines, expected):
+    from sumacloom.counter import upkeep
+    stage = Stage()
+    stage.warm()
+    stage.client(1, "books")
+    upkeep.sigterm(stage.floor, stage.now)
+    for line in lines:
+        stage.say(1, line)
+    stage.now = stage.floor.leaving_at + 4.9
+    stage.take(1)
+    upkeep.leave_step(stage.floor, stage.now)
+    stage.act()
+    assert stage.take(1)[0].startswith(expected) and stage.floor.leaving == "gone"
