--- a/sumacloom/__main__.py
+++ b/sumacloom/__main__.py
@@ -45,6 +45,7 @@
     """
     if arguments in (["counter"], ["registrar"]):
         return run_daemon(arguments[0])
+    sys.argv[0] = "sumacloom"
     from .programs import run
     return run(arguments)
 
--- a/sumacloom/common/logs.py
+++ b/sumacloom/common/logs.py
@@ -18,6 +18,18 @@
     root.propagate = False
 
 
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def set_level(level: str) -> None:
+    """Changes the level of this process's logs; one it does not know changes nothing.
+
+    >>> set_level("INFO")
+    """
+    if level in LEVELS:
+        logging.getLogger("sumacloom").setLevel(level)
+
+
 class Scribe:
     """Writes the log lines of one part, each with its prefix.
 
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -1,7 +1,7 @@
 """A counter's session with a registrar, its parent in the relay tree, and its children."""
 import curio
 
-from ..common.logs import Scribe
+from ..common.logs import Scribe, set_level
 from ..common.settings import split_address
 from ..courier.board import Board
 from ..courier.links import Link, dial, listen, tune
@@ -68,7 +68,7 @@
                     child.send(news)
                 child.digest = digest
 
-    def beat(self) -> None:
+    def beat(self, reporting: bool = False) -> None:
         """Sends a heartbeat now.
 
         >>> Member.beat.__name__
@@ -79,7 +79,7 @@
             self.mishaps.clear()
             now = self.clock()
             sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
-            self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report()))
+            self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None))
 
     # ------------------------------------------------------------ the session
     async def attach(self) -> None:
@@ -201,6 +201,10 @@
             self.settled = self.settled or self.clock() - self.started_at > SETTLE_S
             self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
             self.yard.take_sightings(message.positions, self.clock())
+            if message.log_level:
+                set_level(message.log_level)
+            if message.want_report:
+                self.beat(reporting=True)
             await self.follow(message.parent)
             self.check_behind(link, message.digest)
 
--- /dev/null
+++ b/sumacloom/counter/report.py
@@ -0,0 +1,31 @@
+"""A counter's own state, for the admin API."""
+
+
+def report_of(floor, member, now: float) -> dict:
+    """The counter's row and its rotation's rows.
+
+    >>> report_of.__name__
+    'report_of'
+    """
+    settings, yard = floor.settings, floor.yard
+    digest = member.board.digest()
+    counter = {
+        "node": settings.node, "zone": settings.zone, "ready": floor.ready, "leaving": floor.leaving,
+        "blueprint": digest.blueprint, "evacuations": digest.evacuations, "parent": member.parent_address or "registrar",
+        "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
+        "wires": len(floor.wires),
+    }
+    rotation = [
+        {
+            "node": settings.node, "service": ground.name, "backend": backend.name,
+            "leads": backend.role == "primary",
+            "state": replica.state if replica else ("leads" if backend.role == "primary" else "unseen"),
+            "position": str(replica.position) if replica else "-",
+            "behind": replica.lag if replica else 0,
+            "seen_ms": round((now - replica.seen_at) * 1000) if replica and replica.seen_at is not None else -1,
+            "wires": len(backend.wires), "idle": len(backend.idle),
+        }
+        for ground in yard.grounds.values() for backend in ground.backends.values()
+        for replica in [ground.rotation.replicas.get(backend.name)]
+    ]
+    return {"counter": counter, "rotation": rotation}
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -12,6 +12,7 @@
 from . import losses, outcomes, upkeep
 from .floor import Floor
 from .member import Member
+from .report import report_of
 
 scribe = Scribe("counter")
 TICK_S = 0.05
@@ -32,7 +33,7 @@
         self.over = False
         self.signals = Signals().listen()
         self.watch = FileWatch()
-        self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, lambda: None)
+        self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, self.report)
 
     @staticmethod
     def now() -> float:
@@ -184,6 +185,14 @@
         self.floor.take_records(list(board.records.values()), now)
         await self.act()
 
+    def report(self) -> dict:
+        """What this counter tells the admin API when asked.
+
+        >>> Shell.report.__name__
+        'report'
+        """
+        return report_of(self.floor, self.member, self.now())
+
     # ------------------------------------------------------------ running
     async def clock(self) -> None:
         """Ticks until this counter has left.
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -1,5 +1,6 @@
 """What daemons say to one another, as msgspec structures."""
 import zlib
+from typing import Union
 
 import msgspec
 
@@ -189,6 +190,25 @@
     value: bytes
 
 
+class Inquire(Message):
+    """A registrar asks a peer for its part of the fleet's state."""
+
+    number: int
+
+
+class Part(Message):
+    """A peer's part: tables of rows."""
+
+    number: int
+    tables: dict[str, list[dict]]
+
+
+class Level(Message):
+    """The log level that an operator sets for the whole fleet, until each process ends."""
+
+    level: str
+
+
 class Tell(Message):
     """A voter that lost its disk asks for everything."""
 
@@ -199,10 +219,9 @@
 
 
 KINDS = (Hello, MemberBeat, RegistrarBeat, Follow, News, PeerBeat, Prepare, Promise, Accept, Accepted, Refused,
-         Query, Copy, Decided, Fetch, Settled, Tell, Told)
+         Query, Copy, Decided, Fetch, Settled, Tell, Told, Inquire, Part, Level)
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Hello | MemberBeat | RegistrarBeat | Follow | News | PeerBeat | Prepare | Promise
-                                  | Accept | Accepted | Refused | Query | Copy | Decided | Fetch | Settled | Tell | Told)
+DECODER = msgspec.msgpack.Decoder(Union[KINDS])
 MOST_FRAME = 16 << 20
 
 
--- /dev/null
+++ b/sumacloom/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line over the whole fleet."""
--- /dev/null
+++ b/sumacloom/fleet/commands.py
@@ -0,0 +1,280 @@
+"""The commands of `sumacloom fleet`."""
+import json
+import sys
+import urllib.parse
+
+from ..common.results import Err, Ok, Result, exit_code, mishap
+from . import client
+from .tables import as_text, query as run_query
+
+
+def finish(result: Result, show=None) -> int:
+    """Prints a result for people, or one sentence with its number; gives the exit code.
+
+    >>> finish(Ok("done"), print)
+    done
+    0
+    """
+    if result.is_err():
+        found = result.err()
+        print(f"sumacloom fleet: {found.sentence} (code {found.code})", file=sys.stderr)
+        return exit_code(found.name)
+    if show:
+        show(result.ok())
+    return 0
+
+
+def ask(at: str, method: str, path: str, kind: type, body: bytes = b"", headers: dict | None = None) -> Result:
+    """A call to any registrar, its reply read as JSON.
+
+    >>> ask("nowhere", "GET", "/", dict).err().name
+    'usage'
+    """
+    return client.find_registrars(at).and_then(
+        lambda addresses: client.call(addresses, method, path, body, headers)
+    ).and_then(lambda answered: client.read_json(answered, kind))
+
+
+def print_rows(as_json: bool):
+    """How rows are shown.
+
+    >>> print_rows(True)([{"a": 1}])
+    [{"a": 1}]
+    """
+    return lambda rows: print(json.dumps(rows) if as_json else as_text(rows))
+
+
+def table(name: str, at: str, as_json: bool) -> int:
+    """Prints one table of the admin API.
+
+    >>> table("members", "nowhere", False)
+    2
+    """
+    return finish(ask(at, "GET", f"/api/admin/{name}", list), print_rows(as_json))
+
+
+def status(*, at: str = "", json: bool = False) -> int:
+    """Tells in a few lines how the whole fleet is.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT; else SUMACLOOM_REGISTRARS, else the settings file's seeds
+    :param json: everything, as one JSON document
+    """
+    def show(fleet):
+        print(globals()["json"].dumps(fleet) if json else "\n".join(sum_up(fleet)))
+    return finish(ask(at, "GET", "/api/admin/fleet", dict), show)
+
+
+def sum_up(fleet: dict) -> list[str]:
+    """The status in sentences.
+
+    >>> sum_up({})[0]
+    'registrars: 0 of 0 heard, 0 vote'
+    """
+    registrars, counters = fleet.get("registrars", []), fleet.get("counters", [])
+    heard = [row for row in registrars if row.get("node")]
+    newest = max((row.get("blueprint", 0) for row in heard), default=0)
+    behind = [row["node"] for row in heard + counters if row.get("blueprint", 0) < newest]
+    backends = fleet.get("backends", [])
+    services = sorted({row.get("service", "") for row in backends})
+    leads = {row["service"]: row["backend"] for row in backends if row.get("role") == "primary" and not row.get("dark")}
+    duty = (fleet.get("duties") or [{}])[0]
+    emptied = [row["zone"] for row in fleet.get("zones", []) if row.get("evacuated")]
+    return [
+        f"registrars: {len(heard)} of {len(registrars)} heard, {sum(bool(row.get('votes')) for row in heard)} vote",
+        f"counters: {len(counters)} members, {sum(bool(row.get('ready')) for row in counters)} ready, "
+        f"{sum(row.get('sessions', 0) for row in counters)} sessions, {sum(row.get('waiting', 0) for row in counters)} waiting",
+        f"blueprint: {newest}" + (f", not yet at {', '.join(behind)}" if behind else ", everywhere"),
+        f"services: {len(services)}, without a lead: {', '.join(name for name in services if name not in leads) or 'none'}",
+        f"backends: {len(backends)}, dark: {', '.join(row['backend'] for row in backends if row.get('dark')) or 'none'}, "
+        f"leaving: {', '.join(row['backend'] for row in backends if row.get('phase') == 'draining') or 'none'}",
+        f"failover duty: {duty.get('holder') or 'nobody'}, fence {duty.get('fence', 0)}",
+        f"evacuated zones: {', '.join(emptied) or 'none'}",
+    ]
+
+
+def members(*, at: str = "", json: bool = False) -> int:
+    """Lists the counters and where their sessions stand.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("counters", at, json)
+
+
+def registrars(*, at: str = "", json: bool = False) -> int:
+    """Lists the registrars and what they hold.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("registrars", at, json)
+
+
+def backends(*, at: str = "", json: bool = False) -> int:
+    """Lists the backends with role, phase, position and when they were heard.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("backends", at, json)
+
+
+def rotation(*, at: str = "", json: bool = False) -> int:
+    """Lists each counter's rotation: which replicas may serve its reads.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("rotation", at, json)
+
+
+def duties(*, at: str = "", json: bool = False) -> int:
+    """Tells who holds the failover duty, and its fence.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("duties", at, json)
+
+
+def zones(*, at: str = "", json: bool = False) -> int:
+    """Lists the zones, and which are evacuated.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("zones", at, json)
+
+
+def query(text: str, *, at: str = "", json: bool = False) -> int:
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones.
+
+    :param text: the query, in one argument
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    fleet = ask(at, "GET", "/api/admin/fleet", dict)
+    return finish(fleet.and_then(lambda tables: run_query(tables, text)), print_rows(json))
+
+
+def get(*, at: str = "") -> int:
+    """Prints the blueprint in force, whole.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    """
+    addresses = client.find_registrars(at)
+    return finish(addresses.and_then(lambda found: client.call(found, "GET", "/api/config")),
+                  lambda answered: print(answered.body.decode("utf-8", "replace")))
+
+
+def read_file(path: str) -> Result:
+    """A file's bytes.
+
+    >>> read_file("/nowhere").err().name
+    'usage'
+    """
+    try:
+        with open(path, "rb") as file:
+            return Ok(file.read())
+    except OSError as error:
+        return Err(mishap("usage", f"the file can't be read: {error}"))
+
+
+def check(file: str) -> int:
+    """Checks a blueprint file here, with the registrars' own model, and names every error.
+
+    :param file: the blueprint, JSON
+    """
+    return finish(read_file(file).and_then(check_all), lambda model: print(
+        f"the blueprint {model.ver} is valid: {len(model.routes)} routes, {len(model.svcs)} services"))
+
+
+def check_all(raw: bytes) -> Result:
+    """Checks a blueprint; all its errors but the last are printed here.
+
+    >>> check_all(b"").err().name
+    'unreadable'
+    """
+    from ..registrar.check import find_mishaps
+    mishaps, model = find_mishaps(raw)
+    for found in mishaps[:-1]:
+        print(f"sumacloom fleet: {found.sentence} (code {found.code})", file=sys.stderr)
+    return Err(mishaps[-1]) if mishaps else Ok(model)
+
+
+def put(file: str, *, base: int = -1, at: str = "") -> int:
+    """Puts a blueprint into force; what gets no clear reply is sent again unchanged.
+
+    :param file: the blueprint, JSON
+    :param base: the generation it builds on; else the one in force
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    """
+    return finish(read_file(file).and_then(lambda raw: check_all(raw).and_then(
+        lambda model: send_blueprint(raw, model.ver, base, at))), print)
+
+
+def send_blueprint(raw: bytes, ver: int, base: int, at: str) -> Result:
+    """Sends a checked blueprint.
+
+    >>> send_blueprint(b"{}", 1, 0, "nowhere").err().name
+    'usage'
+    """
+    addresses = client.find_registrars(at)
+    if addresses.is_err():
+        return addresses
+    if base < 0:
+        current = client.call(addresses.ok(), "GET", "/api/config")
+        if current.is_err() and current.err().name != "no_route":
+            return current
+        read = current.and_then(lambda answered: client.read_json(answered, dict))
+        if current.is_ok() and read.is_err():
+            return read
+        base = int(read.ok().get("ver", 0)) if read.is_ok() else 0
+    sent = client.call(addresses.ok(), "PUT", "/api/config", raw,
+                       {"Content-Type": "application/json", "If-Match": str(base)})
+    return sent.map(lambda _answered: f"the blueprint {ver} is in force, built on {base}")
+
+
+def order(method: str, zone: str, at: str, sentence: str) -> int:
+    """An evacuation order.
+
+    >>> order("POST", "z", "nowhere", "")
+    2
+    """
+    path = "/api/drain/" + urllib.parse.quote(zone, safe="")
+    return finish(ask(at, method, path, dict), lambda _reply: print(sentence))
+
+
+def evacuate(zone: str, *, at: str = "") -> int:
+    """Orders that nothing more be sent to a zone's backends.
+
+    :param zone: the zone
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    """
+    return order("POST", zone, at, f"the zone {zone} is being emptied")
+
+
+def restore(zone: str, *, at: str = "") -> int:
+    """Takes the evacuation of a zone back.
+
+    :param zone: the zone
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    """
+    return order("DELETE", zone, at, f"the zone {zone} may be used again")
+
+
+def log_level(level: str, *, at: str = "") -> int:
+    """Sets the log level of the whole fleet, until each process ends.
+
+    :param level: DEBUG, INFO, WARNING or ERROR
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    """
+    body = json.dumps({"level": level.upper()}).encode()
+    return finish(ask(at, "PUT", "/api/admin/log-level", dict, body), lambda reply: print(f"the log level is {reply['level']}"))
+
+
+COMMANDS = {
+    "status": status, "members": members, "registrars": registrars, "backends": backends, "rotation": rotation,
+    "duties": duties, "zones": zones, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
+    "blueprint": {"get": get, "check": check, "put": put},
+}
--- a/sumacloom/programs.py
+++ b/sumacloom/programs.py
@@ -2,6 +2,7 @@
 import defopt
 
 from .__main__ import run_daemon
+from .fleet.commands import COMMANDS
 
 
 def counter(*, settings: str = "") -> int:
@@ -27,6 +28,7 @@
     'run'
     """
     try:
-        return defopt.run([counter, registrar], argv=arguments, no_negated_flags=True) or 0
+        return defopt.run({"counter": counter, "registrar": registrar, "fleet": COMMANDS}, argv=arguments,
+                          no_negated_flags=True) or 0
     except SystemExit as end:
         return end.code if isinstance(end.code, int) else 2
--- /dev/null
+++ b/sumacloom/registrar/admin.py
@@ -0,0 +1,198 @@
+"""The admin API: the fleet's state as tables, gathered from all registrars and their counters.
+
+Nothing here touches the path of statements: counters answer with what they hold.
+"""
+import json
+
+import curio
+
+from ..common.http import Reply, Request, json_reply, mishap_reply
+from ..common.logs import LEVELS, Scribe, set_level
+from ..common.results import mishap
+from ..common.types import NO_BALLOT
+from ..courier.messages import Inquire, Level, Part
+from . import duties
+from .ctl import serves
+from .values import KEYS
+
+scribe = Scribe("admin")
+GATHER_S = 0.6
+COUNTERS_S = 0.25
+STEP_S = 0.02
+TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones")
+
+
+async def own_part(shell) -> dict:
+    """This registrar's rows, with fresh ones of the counters in session here.
+
+    >>> own_part.__name__
+    'own_part'
+    """
+    asked_at = shell.now()
+    links = list(shell.counters.values())
+    for link in links:
+        shell.beat_counter(link, asked_at, want_report=True)
+    while shell.now() - asked_at < COUNTERS_S and any(link.reported_at < asked_at for link in links):
+        await curio.sleep(STEP_S)
+    office, now = shell.office, shell.now()
+    settings, node = shell.settings, shell.settings.node
+    reports = [link.report for link in links if link.report and link.reported_at >= asked_at]
+    digest = office.board.digest()
+    return {
+        "registrars": [{
+            "node": node, "zone": settings.zone, "ip": settings.ip, "votes": office.votes,
+            "learned": office.acceptor.learned, "blueprint": digest.blueprint, "evacuations": digest.evacuations,
+            "hears": ",".join(peer for peer in office.others() if office.alive(peer, now)),
+            "plans": ",".join(f"{name}:{plan}" for name, plan in sorted(shell.plans.items())),
+        }],
+        "registers": [{
+            "node": node, "key": key,
+            "decided": str(tuple(office.decided.get(key, (NO_BALLOT,))[0][:2])),
+            "accepted": str(tuple(office.acceptor.slots[key].accepted[:2])) if key in office.acceptor.slots else "-",
+        } for key in KEYS],
+        "members": [
+            {"node": name, "zone": zone, "address": address, "registrar": node, "heard_ms": round((now - heard) * 1000)}
+            for name, (zone, address, heard) in sorted(office.roster.sessions.items())
+        ],
+        "counters": [report["counter"] for report in reports],
+        "rotation": [row for report in reports for row in report["rotation"]],
+    }
+
+
+def shared_part(shell) -> dict:
+    """Rows that every registrar holds alike, as this one holds them.
+
+    >>> shared_part.__name__
+    'shared_part'
+    """
+    office, now = shell.office, shell.now()
+    roster, duty = office.roster, office.duty
+    voters = len(office.acceptor.voters)
+
+    def position(name):
+        sight = roster.sighted.get(name)
+        return f"{sight[1].term}.{sight[1].number}" if sight else "-"
+
+    return {
+        "backends": [
+            {
+                "backend": record.name, "service": record.service, "zone": record.zone, "address": record.address,
+                "phase": record.phase, "role": record.role, "slots": record.slots, "position": position(record.name),
+                "heard_ms": round((now - roster.heard_at[record.name]) * 1000) if record.name in roster.heard_at else -1,
+                "dark": roster.dark_since(record.name, voters, now) is not None,
+            }
+            for record in sorted(office.board.records.values(), key=lambda record: (record.service, record.name))
+            if record.phase != "gone"
+        ],
+        "duties": [{
+            "duty": duties.DUTY, "holder": duty.holder if duty else "", "fence": duty.fence if duty else 0,
+            "vacant": duties.vacant(office, now),
+        }],
+        "zones": [
+            {"zone": zone, "region": region, "evacuated": zone in office.board.zones}
+            for zone, region in sorted(shell.settings.zones.items())
+        ],
+    }
+
+
+async def gather(shell) -> dict:
+    """The whole fleet's tables; registrars that don't answer in time are left out, and named as unheard.
+
+    >>> gather.__name__
+    'gather'
+    """
+    shell.inquiries += 1
+    number = shell.inquiries
+    parts = shell.parts[number] = {}
+    peers = [peer for peer in shell.office.others() if shell.office.alive(peer, shell.now())]
+    for peer in peers:
+        shell.office.outbox.append((peer, Inquire(number)))
+    await shell.act()
+    started = shell.now()
+    tables = await own_part(shell)
+    while shell.now() - started < GATHER_S and len(parts) < len(peers):
+        await curio.sleep(STEP_S)
+    del shell.parts[number]
+    for part in parts.values():
+        for name, rows in part.items():
+            tables[name] = tables[name] + rows
+    unheard = [peer for peer in shell.office.others() if peer not in parts]
+    tables["registrars"] += [{"node": "", "zone": "", "ip": peer, "votes": False, "learned": False, "blueprint": 0,
+                              "evacuations": 0, "hears": "unheard", "plans": ""} for peer in unheard]
+    return {**tables, **shared_part(shell)}
+
+
+def hear(shell, peer: str, message) -> bool:
+    """Takes what peers say for the admin API; False if it is something else.
+
+    >>> hear(None, "", None)
+    False
+    """
+    if isinstance(message, Part):
+        if message.number in shell.parts:
+            shell.parts[message.number][peer] = message.tables
+        return True
+    if isinstance(message, Level):
+        apply_level(shell, message.level)
+        return True
+    if not isinstance(message, Inquire):
+        return False
+
+    async def answer():
+        shell.office.outbox.append((peer, Part(message.number, await own_part(shell))))
+        await shell.act()
+    shell.errands.append(answer)
+    return True
+
+
+def apply_level(shell, level: str) -> None:
+    """Sets the level here and at the counters in session here.
+
+    >>> apply_level.__name__
+    'apply_level'
+    """
+    set_level(level)
+    scribe.say("the log level is %s", level)
+    for link in shell.counters.values():
+        shell.beat_counter(link, shell.now(), level=level)
+
+
+@serves("GET", r"/api/admin/fleet")
+async def get_fleet(shell, request: Request) -> Reply:
+    """All tables.
+
+    >>> get_fleet.__name__
+    'get_fleet'
+    """
+    return json_reply(200, await gather(shell))
+
+
+@serves("GET", r"/api/admin/([a-z]+)")
+async def get_table(shell, request: Request, name: str) -> Reply:
+    """One table.
+
+    >>> get_table.__name__
+    'get_table'
+    """
+    if name not in TABLES:
+        return mishap_reply(mishap("no_route", f"there is no table '{name}'"))
+    return json_reply(200, (await gather(shell))[name])
+
+
+@serves("PUT", r"/api/admin/log-level")
+async def put_log_level(shell, request: Request) -> Reply:
+    """The log level of the whole fleet, until each process ends.
+
+    >>> put_log_level.__name__
+    'put_log_level'
+    """
+    try:
+        level = json.loads(request.body)["level"]
+    except (ValueError, KeyError, TypeError):
+        level = None
+    if level not in LEVELS:
+        return mishap_reply(mishap("bad_request", f"the body must be {{\"level\": one of {', '.join(LEVELS)}}}"))
+    apply_level(shell, level)
+    shell.office.tell_all(Level(level))
+    await shell.act()
+    return json_reply(200, {"level": level})
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -11,7 +11,7 @@
 from ..courier.links import Link, dial, kept, listen, tune
 from ..courier.messages import Follow, Hello, MemberBeat, RegistrarBeat
 from ..ledger.log import Ledger
-from . import ctl, duties
+from . import admin, ctl, duties
 from .errands import PROBE_CUTOFF_S, run_ask, run_plan
 from .failover import Ask, draw_plan
 from .office import Office
@@ -35,6 +35,9 @@
         self.counters: dict[str, Link] = {}        # node: its link
         self.waiting: list[tuple] = []             # (proposal, event)
         self.plans, self.probing = {}, set()
+        self.parts: dict[int, dict] = {}           # inquiry: peer ip: its tables
+        self.inquiries = 0
+        self.errands: list = []                    # coroutine functions to be run beside the links
         self.nobody_since: dict[str, float] = {}
         self.signals = Signals().listen()
         self.watch = FileWatch()
@@ -78,6 +81,9 @@
             else:
                 await event.set()
         self.waiting = still
+        errands, self.errands = self.errands, []
+        for errand in errands:
+            await curio.spawn(errand, daemon=True)
         self.pass_news()
 
     def pass_news(self) -> None:
@@ -142,6 +148,7 @@
         tune(sock._socket)
         link = Link(sock)
         link.parent, link.shared_at = "", 0.0
+        link.report, link.reported_at = None, -1e9
         try:
             async for message in link.messages():
                 now = self.now()
@@ -154,7 +161,7 @@
                     continue
                 if link.peer.role == "counter":
                     self.hear_counter(link, message, now)
-                else:
+                elif not admin.hear(self, link.peer.ip, message):
                     self.office.hear(link.peer.ip, message, now)
                 await self.act()
         finally:
@@ -181,7 +188,8 @@
         office.roster.session(node, link.peer.zone, link.peer.address, now)
         self.counters[node] = link
         link.digest = message.digest
-        link.report = message.report or getattr(link, "report", None)
+        if message.report:
+            link.report, link.reported_at = message.report, now
         office.roster.take_sightings(message.positions, now, own=True)
         for name in message.mishaps:
             if name not in office.roster.suspected or now - office.roster.suspected[name] > 0.5:
@@ -189,11 +197,21 @@
                 office.told_suspects.add(name)
                 office.beaten_at = -1e9
         link.parent = office.roster.parent(node, self.settings.zone, FAN, now)
+        self.beat_counter(link, now)
+
+    def beat_counter(self, link: Link, now: float, want_report: bool = False, level: str = "") -> None:
+        """Our heartbeat to a counter.
+
+        >>> Shell.beat_counter.__name__
+        'beat_counter'
+        """
+        office = self.office
         registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
         members = max(1, len(office.roster.members(now)))
         sightings = office.roster.sightings(link.shared_at, now)
         link.shared_at = now
-        link.send(RegistrarBeat(office.board.digest(), members, link.parent, registrars, sightings))
+        link.send(RegistrarBeat(
+            office.board.digest(), members, link.parent, registrars, sightings, want_report, level))
 
     # ------------------------------------------------------------ the duty
     def may_act(self) -> bool:
