--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -139,7 +139,8 @@
         return False
 
     async def answer():
-        shell.office.outbox.append((peer, Part(message.number, await own_part(shell))))
+        part = Part(message.number, await own_part(shell))
+        shell.office.outbox.append((peer, part))      # only now: the outbox is another list after each wait
         await shell.act()
     shell.errands.append(answer)
     return True
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,369 @@
+"""Stand-ins for backends and platform on loopback, and the real programs between them.
+
+    python3 -m tests.standins            runs a small fleet until Ctrl-C and tells its addresses
+    python3 -m tests.standins --trial    plays a short day with a dead primary and ends 0 if it was served
+"""
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from . import conftest  # noqa: F401  (finds target/deps)
+import curio  # noqa: E402
+
+from sumacloom.common import http  # noqa: E402
+from sumacloom.common.lines import LineSplitter, encode  # noqa: E402
+from sumacloom.courier.links import dial, listen  # noqa: E402
+
+ROOT = conftest.ROOT
+ZONES = {"zone-a": "north", "zone-b": "middle", "zone-c": "south"}
+CTL, FE, READY, PLATFORM, BACKEND = 17100, 17101, 17102, 17103, 17104
+PORTS = (17110, 17125)
+BLUEPRINT = {
+    "ver": 1,
+    "routes": [
+        {"name": "r1", "host": "books", "pfx": "/", "kind": "primary", "tmoMs": 1000, "goalMs": 400, "prio": 1,
+         "svc": "register", "tries": 2, "geo": []},
+        {"name": "r2", "host": "search", "pfx": "/", "kind": "stale_ok", "tmoMs": 2000, "goalMs": 800, "prio": 2,
+         "svc": "register", "tries": 2, "maxStaleMs": 1500, "geo": []},
+    ],
+    "svcs": [{"name": "register", "probe": "/healthz", "maxconn": 60, "syncAcks": 0}],
+    "limits": {"txIdleMs": 3000},
+}
+
+
+class Backend:
+    """One stand-in server: a log, a role, and the wire."""
+
+    def __init__(self, number: int, service: "Service"):
+        self.name, self.zone = f"i-{number}", f"zone-{'abc'[number - 1]}"
+        self.ip = f"127.0.1.{number}"
+        self.service = service
+        self.role, self.term = ("primary" if number == 1 else "replica"), 1
+        self.log: list = []                  # (term, thing, data)
+        self.seq, self.dead, self.runs = 0, False, 0
+        self.wires: set = set()
+
+    @property
+    def position(self) -> str:
+        return f"{self.log[-1][0] if self.log else self.term}.{len(self.log)}"
+
+    def holds(self, text: str) -> bool:
+        term, number = map(int, text.split("."))
+        return (term, number) <= (self.log[-1][0] if self.log else self.term, len(self.log))
+
+    async def serve(self):
+        sock = listen(self.ip, BACKEND)
+        while True:
+            client, _address = await sock.accept()
+            if self.dead:
+                await client.close()
+                continue
+            await curio.spawn(self.talk, client, daemon=True)
+
+    async def talk(self, sock):
+        self.wires.add(sock)
+        splitter, state = LineSplitter(), {"open": "", "writes": [], "names": {}, "in": False}
+        try:
+            async with sock:
+                while data := await sock.recv(65536):
+                    for line in splitter.feed(data):
+                        reply = self.answer(line, state)
+                        if reply is None or self.dead:
+                            return
+                        await sock.sendall(encode(*reply))
+        except OSError:
+            pass
+        finally:
+            self.wires.discard(sock)
+
+    def answer(self, line, state):
+        word, _blank, rest = line.partition(" ")
+        if word == "LOGIN":
+            service, _who, *expected = rest.split(" ")
+            if service != self.service.name or (expected and expected[0] != self.name):
+                return ["ERR WRONGHOST not here"]
+            return [f"READY I {self.position}"]
+        if word != "QUERY":
+            return None
+        _id, _blank, text = rest.partition(" ")
+        lines = self.run(text, state)
+        letter = "I" if not state["open"] else "T"
+        return [*lines, f"READY {letter} {self.position}"]
+
+    def run(self, text, state):
+        verb, _blank, rest = text.partition(" ")
+        if verb == "WAITPOS":
+            position, _blank, text = rest.partition(" ")
+            if not self.holds(position):
+                return [f"ERR LAGGING {self.name}"]
+            verb, _blank, rest = text.partition(" ")
+        if verb == "EXEC":
+            name, _blank, rest = rest.partition(" ")
+            if name not in state["names"]:
+                return ["ERR NOSUCH no such name"]
+            verb = state["names"][name]
+        if verb == "STAT":
+            return [f"ROW {self.role} {self.term} {self.position} 0 0 0 {len(self.wires)}", "DONE -"]
+        if verb == "STEPDOWN":
+            self.role, self.term = "replica", int(rest)
+            return [f"ROW {self.role} {self.term} {self.position} 0 0 0 {len(self.wires)}", "DONE -"]
+        if verb in ("PAUSE", "CONT"):
+            return [f"ROW {self.role} {self.term} {self.position} 0 0 0 {len(self.wires)}", "DONE -"]
+        if verb == "PREP":
+            name, kind, _shape = rest.split(" ", 2)
+            state["names"][name] = kind
+            return ["DONE -"]
+        if verb in ("SET", "RESET", "FREE"):
+            if verb == "RESET":
+                state["names"].clear()
+            return ["DONE -"]
+        if verb == "BEGIN":
+            if rest != "FETCH" and self.role != "primary":
+                return [f"ERR RO {self.name}"]
+            state["open"], state["writes"] = rest or "plain", []
+            return ["DONE -"]
+        if verb == "ABORT":
+            state["open"], state["writes"] = "", []
+            return ["DONE -"]
+        if self.role != "primary" and (verb == "PUT" or state["open"] == "plain"):
+            state["open"] = ""
+            return [f"ERR RO {self.name}"]
+        self.runs += 1
+        if verb == "FETCH":
+            found = [data for _term, thing, data in self.log + state["writes"] if thing == rest]
+            return [*(f"ROW {data}" for data in found[-1:]), f"DONE {self.runs}.{self.name}"]
+        if verb == "PUT":
+            thing, _blank, data = rest.partition(" ")
+            state["writes"].append((self.term, thing, data))
+            if not state["open"]:
+                self.service.commit(self, state["writes"])
+                state["writes"] = []
+            return [f"DONE {self.runs}.{self.name}"]
+        if verb == "COMMIT" and state["open"]:
+            self.service.commit(self, state["writes"])
+            state["open"], state["writes"] = "", []
+            return [f"DONE {self.runs}.{self.name}"]
+        return ["ERR MALFORMED no"]
+
+    async def beat(self):
+        while True:
+            if not self.dead:
+                self.seq += 1
+                body = json.dumps({"svc": self.service.name, "addr": f"{self.ip}:{BACKEND}", "az": self.zone, "ver": "v1",
+                                   "slots": 9, "phase": "up", "coldLeftMs": 0, "dbrole": self.role,
+                                   "seq": self.seq}).encode()
+                for number in (1, 2, 3):
+                    status, *_rest = await http.call(dial, (f"127.0.0.{number}", CTL), "PUT",
+                                                     f"/api/instances/{self.name}", body)
+                    if 200 <= status < 300:
+                        break
+            await self.service.nudge(self, 1.2)
+
+    async def die(self):
+        self.dead = True
+        for sock in list(self.wires):
+            sock._socket.shutdown(2)
+
+
+class Service:
+    """The stand-in service and the platform that promotes."""
+
+    def __init__(self):
+        self.name = "register"
+        self.backends = [Backend(number, self) for number in (1, 2, 3)]
+        self.events = {backend.name: curio.Event() for backend in self.backends}
+
+    def commit(self, leader, writes):
+        for backend in self.backends:
+            if not backend.dead and (backend is leader or backend.role == "replica"):
+                backend.log.extend(writes)
+
+    async def nudge(self, backend, seconds):
+        async with curio.ignore_after(seconds):
+            await self.events[backend.name].wait()
+        self.events[backend.name].clear()
+
+    async def platform(self):
+        fence = [0]
+
+        async def handler(request):
+            if request.path != "/promote" or request.method != "POST":
+                return http.Reply(404)
+            order, number = json.loads(request.body), int(request.headers["x-fence"])
+            target = next((backend for backend in self.backends if backend.name == order["id"] and not backend.dead), None)
+            if number < fence[0] or target is None:
+                return http.Reply(409)
+            fence[0] = number
+            await curio.sleep(0.2)
+            top = max(backend.term for backend in self.backends) + 1
+            for backend in self.backends:
+                backend.role = "primary" if backend is target else "replica"
+            target.term = top
+            for event in self.events.values():
+                await event.set()
+            return http.Reply(200)
+
+        sock = listen("127.0.0.1", PLATFORM)
+        while True:
+            client, _address = await sock.accept()
+            await curio.spawn(http.serve_wire, client, handler, daemon=True)
+
+    async def run(self):
+        await curio.spawn(self.platform, daemon=True)
+        for backend in self.backends:
+            await curio.spawn(backend.serve, daemon=True)
+            await curio.spawn(backend.beat, daemon=True)
+
+
+def write_settings(folder: str, role: str, number: int) -> str:
+    """A settings file; registrars at 127.0.0.1 to .3, counters at 127.0.0.11 to .13."""
+    ip = f"127.0.0.{number if role == 'registrar' else 10 + number}"
+    zone = f"zone-{'abc'[number - 1]}"
+    listening = f'ctl = "{ip}:{CTL}"' if role == "registrar" else f'fe = "{ip}:{FE}"\nreadyz = "{ip}:{READY}"'
+    zones = "\n".join(f'{name} = "{region}"' for name, region in ZONES.items())
+    path = os.path.join(folder, f"{role}-{number}.toml")
+    seeds = ", ".join(f'"127.0.0.{seed}:{CTL}"' for seed in (1, 2, 3))
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(f'''node = "{role}-{number}"
+role = "{role}"
+ip = "{ip}"
+az = "{zone}"
+rgn = "{ZONES[zone]}"
+portRange = [{PORTS[0]}, {PORTS[1]}]
+seeds = [{seeds}]
+bootstrap = true
+voting = {str(role == "registrar").lower()}
+datadir = "{folder}/data-{number}"
+beatMs = 1200
+[azs]
+{zones}
+[listen]
+{listening}
+[cloud]
+addr = "127.0.0.1:{PLATFORM}"
+jobs = ["failover"]
+''')
+    return path
+
+
+def start(folder: str, role: str, number: int) -> subprocess.Popen:
+    """Starts a real program; its log goes to a file beside its settings."""
+    path = write_settings(folder, role, number)
+    log = open(path.replace(".toml", ".log"), "ab")
+    return subprocess.Popen([sys.executable, "-m", "sumacloom", role], cwd=ROOT, stderr=log, stdout=log,
+                            env={**os.environ, "SUMACLOOM_NODE_FILE": path})
+
+
+async def talk(number: int, database: str, *texts: str) -> list[str]:
+    """A client's session with a counter: every line of its replies."""
+    lines = []
+    try:
+        async with curio.timeout_after(5.0):
+            sock = await dial(f"127.0.0.{10 + number}", FE)
+            async with sock:
+                splitter = LineSplitter()
+                for place, text in enumerate([f"LOGIN {database} someone", *texts]):
+                    await sock.sendall(encode(text if place == 0 else f"QUERY q{place} {text}"))
+                    got = []
+                    while not any(line.startswith("READY") for line in got):
+                        data = await sock.recv(65536)
+                        if not data:
+                            return lines + got + ["(closed)"]
+                        got += splitter.feed(data)
+                    lines += got
+    except (OSError, curio.TaskTimeout) as error:
+        lines.append(f"({type(error).__name__})")
+    return lines
+
+
+async def until(what: str, check, seconds: float = 20.0):
+    """Waits for something to be so."""
+    started = time.monotonic()
+    while not await check():
+        if time.monotonic() - started > seconds:
+            raise SystemExit(f"trial: {what} did not come about in {seconds:.0f} s")
+        await curio.sleep(0.1)
+    print(f"trial: {what} after {time.monotonic() - started:.1f} s", flush=True)
+
+
+async def fleet(*arguments: str) -> int:
+    """Runs `sumacloom fleet` as a person would."""
+    process = await curio.run_in_thread(lambda: subprocess.run(
+        [sys.executable, "-m", "sumacloom", "fleet", *arguments], cwd=ROOT, timeout=60,
+        env={**os.environ, "SUMACLOOM_REGISTRARS": f"127.0.0.1:{CTL},127.0.0.2:{CTL}"}))
+    return process.returncode
+
+
+async def trial(service: Service, processes: dict, folder: str):
+    """A short day."""
+    path = os.path.join(folder, "blueprint.json")
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(BLUEPRINT, file)
+
+    async def served():
+        return (await talk(1, "books", "PUT a one"))[-2:-1] != [] and "DONE" in str(await talk(2, "books", "PUT a two"))
+
+    async def put():
+        return await fleet("blueprint", "put", path) == 0
+    await until("the blueprint is taken", put)
+    await until("writes are served", served)
+    print("\n".join(await talk(3, "search", "FETCH a")))
+    for command in (["status"], ["backends"], ["members"], ["rotation"], ["duties"],
+                    ["query", "SELECT zone, count(*) AS backends FROM backends GROUP BY zone"]):
+        print(f"$ sumacloom fleet {' '.join(command)}", flush=True)
+        if await fleet(*command):
+            raise SystemExit("trial: a command failed")
+    await service.backends[0].die()
+    await until("writes are served after the primary died", served)
+    processes["registrar-1"].kill()
+    processes["registrar-1"].wait()
+    await fleet("evacuate", "zone-b")
+    await fleet("status")
+    await fleet("restore", "zone-b")
+    wrong = await fleet("evacuate", "zone-x"), await fleet("query", "DROP TABLE members"), await fleet("log-level", "loud")
+    if 0 in wrong:
+        raise SystemExit("trial: a wrong command ended well")
+    processes["registrar-1"] = start(folder, "registrar", 1)
+
+    async def whole():
+        process = await curio.run_in_thread(lambda: subprocess.run(
+            [sys.executable, "-m", "sumacloom", "fleet", "query", "SELECT count(*) AS n FROM registrars WHERE votes",
+             "--json", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT, capture_output=True, timeout=60))
+        return b'"n": 3' in process.stdout
+    await until("the killed registrar votes again", whole)
+
+
+async def main(with_trial: bool) -> None:
+    """The fleet."""
+    service = Service()
+    await service.run()
+    with tempfile.TemporaryDirectory() as folder:
+        processes = {f"{role}-{number}": start(folder, role, number)
+                     for role, numbers in (("registrar", (1, 2, 3)), ("counter", (1, 2, 3))) for number in numbers}
+        try:
+            if with_trial:
+                await trial(service, processes, folder)
+                print("trial: all well")
+                return
+            print(f"registrars at 127.0.0.1 to .3, port {CTL}; counters at 127.0.0.11 to .13, port {FE}; logs in {folder}\n"
+                  f"try: python3 -m sumacloom fleet status --at 127.0.0.1:{CTL}\nCtrl-C ends it", flush=True)
+            while True:
+                await curio.sleep(3600)
+        finally:
+            for process in processes.values():
+                process.send_signal(signal.SIGTERM)
+            codes = {name: process.wait() for name, process in processes.items()}
+            print("exit codes:", codes)
+            if with_trial and any(codes.values()):
+                raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    try:
+        curio.run(main, "--trial" in sys.argv)
+    except KeyboardInterrupt:
+        pass
