--- a/sumacloom/common/results.py
+++ b/sumacloom/common/results.py
@@ -48,6 +48,8 @@
     "wrong_method": (1405, 405, 4, "this path does not take this method"),
     "too_large": (1413, 413, 4, "the body is too large"),
     "unknown_zone": (1422, 422, 4, "there is no such zone"),
+    "unknown_database": (1425, 422, 4, "the blueprint has no such database"),
+    "lanes_waiting": (1305, 0, 6, "a counter does not hold the lanes yet"),
     "invalid_beat": (1423, 422, 4, "the beat lacks a field or has a wrong one"),
     "bad_query": (1424, 400, 4, "the query can't be run"),
     "usage": (1500, 0, 2, "the command line can't be understood"),
--- a/sumacloom/counter/errand.py
+++ b/sumacloom/counter/errand.py
@@ -12,7 +12,7 @@
 
     __slots__ = (
         "session", "statement", "rule", "plan_name", "received", "cutoff", "hold_until", "stage", "wire",
-        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed",
+        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed", "lane",
     )
 
     def __init__(self, session, statement, rule, plan_name: str, now: float, transaction):
@@ -30,6 +30,7 @@
         self.refusal = ""
         self.ran_at = 0.0
         self.needed = None
+        self.lane = False
 
     @property
     def plan(self) -> tuple:
@@ -50,12 +51,12 @@
         return self.statement.sort == "read"
 
     def order(self) -> tuple:
-        """Its place in a waitlist: priority, then cutoff.
+        """Its place in a waitlist: the priority lane first, then priority, then cutoff.
 
         >>> Errand.order.__name__
         'order'
         """
-        return (self.rule.priority, self.cutoff)
+        return (not self.lane, self.rule.priority, self.cutoff)
 
     def fall_back(self) -> bool:
         """Turns from the rotation to the lead, if the plan knows how.
--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -37,6 +37,7 @@
         self.effects = []
         self.mishaps = []
         self.warmed_at = -1e9
+        self.lanes, self.unsure = set(), False
 
     # ------------------------------------------------------------ news
     def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
@@ -70,7 +71,34 @@
         >>> Floor(Settings("n", "r", "10.0.0.1", "z")).ready
         False
         """
-        return self.leaving == LEAVING.start and self.rules is not None and bool(self.yard.backends)
+        return self.leaving == LEAVING.start and self.rules is not None and bool(self.yard.backends) and not self.unsure
+
+    def take_lanes(self, databases: list[str], sure: bool, used: bool, now: float) -> None:
+        """Takes the priority lanes in force, and whether we may rely on them.
+
+        A counter that can't be sure is not ready and lets idle sessions go; what was asked is answered.
+
+        >>> floor = Floor(Settings("n", "r", "10.0.0.1", "z")); floor.take_lanes(["books"], True, True, 0.0); floor.lanes
+        {'books'}
+        """
+        if set(databases) != self.lanes:
+            self.lanes = set(databases)
+            scribe.say("the priority lane holds: %s", ", ".join(databases) or "nothing")
+        unsure = used and not sure
+        if unsure and not self.unsure:
+            scribe.say("no settled registrar is heard: not ready, since the lanes may have changed")
+        self.unsure = unsure
+        if unsure:
+            self.close_idle(now)
+
+    def close_idle(self, now: float) -> None:
+        """Closes the sessions at rest, which a client does not take for a mishap.
+
+        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).close_idle(0.0)
+        """
+        for session in list(self.sessions.values()):
+            if session.database and session.state == "I" and session.errand is None and not session.waiting:
+                self.shut_session(session, now)
 
     # ------------------------------------------------------------ sessions
     def session_opened(self, key, now: float) -> None:
@@ -213,6 +241,7 @@
             self.reply(session, ["ERR NODB the database is no longer there"], now)
             return
         errand = Errand(session, statement, rule, plan or rule.plans[statement.sort], now, transaction)
+        errand.lane = session.database in self.lanes
         session.errand = errand
         self.active.add(errand)
         if transaction and transaction.wire:
@@ -287,6 +316,8 @@
         for backend in backends:
             if backend.name in full:
                 continue
+            if self.lanes and not errand.lane and yard.last_wire(backend):
+                continue
             wire = yard.take_wire(backend, errand.session.values, errand.statement.prepared)
             if wire is None:
                 continue
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -12,6 +12,7 @@
 QUIET_S = 1.1
 BEHIND_S = 0.5
 SETTLE_S = 4.0
+LEASE_S = 2.0          # shorter than the registrars' SESSION_S: a counter doubts before it is given up
 
 
 class Member:
@@ -32,9 +33,19 @@
         self.members = 1
         self.settled = False         # whether members have had the time to be counted
         self.started_at = clock()
+        self.sure_at = None          # when a registrar that lacks nothing last spoke to us
         self.behind_since = None
         self.attached = ""
 
+    @property
+    def sure(self) -> bool:
+        """Whether what we hold is what the fleet holds: a settled registrar spoke to us within the lease.
+
+        >>> Member.sure.fget.__name__
+        'sure'
+        """
+        return self.sure_at is not None and self.clock() - self.sure_at < LEASE_S
+
     def hello(self) -> Hello:
         """How this counter names itself.
 
@@ -201,6 +212,8 @@
             self.settled = self.settled or self.clock() - self.started_at > SETTLE_S
             self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
             self.yard.take_sightings(message.positions, self.clock())
+            if message.settled:
+                self.sure_at = self.clock()
             if message.log_level:
                 set_level(message.log_level)
             if message.want_report:
--- a/sumacloom/counter/report.py
+++ b/sumacloom/counter/report.py
@@ -11,7 +11,8 @@
     digest = member.board.digest()
     counter = {
         "node": settings.node, "zone": settings.zone, "ready": floor.ready, "leaving": floor.leaving,
-        "blueprint": digest.blueprint, "evacuations": digest.evacuations, "parent": member.parent_address or "registrar",
+        "blueprint": digest.blueprint, "evacuations": digest.evacuations,
+        "lanes": ",".join(sorted(floor.lanes)), "lanes_held": digest.lanes, "parent": member.parent_address or "registrar",
         "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
         "wires": len(floor.wires),
     }
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -208,6 +208,8 @@
                 upkeep.sigterm(self.floor, self.now())
             if self.member.settled:
                 self.floor.yard.count_members(self.member.members, self.now())
+            lanes = self.member.board.lanes
+            self.floor.take_lanes(lanes.databases, self.member.sure, bool(lanes.order), self.now())
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
                 outlet = self.outlets.get(key)
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -225,9 +225,7 @@
             for ground in floor.yard.grounds.values():
                 ground.rotation.frozen = True
         elif action == "close_idle":
-            for session in list(floor.sessions.values()):
-                if session.state == "I" and session.errand is None and not session.waiting:
-                    floor.shut_session(session, now)
+            floor.close_idle(now)
         elif action == "end_transactions":
             for session in list(floor.sessions.values()):
                 transaction = session.transaction
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -245,6 +245,14 @@
         most = service.maxconn if service else 32
         return max(1, min(MOST_WIRES, int(most * SHARE_OF_MAXCONN / max(1, self.members))))
 
+    def last_wire(self, backend: Backend) -> bool:
+        """Whether the one idle wire is all that is left under the cap: it is kept for the priority lane.
+
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).last_wire(Backend("i-1", "svc"))
+        False
+        """
+        return len(backend.idle) == 1 and 1 < self.cap(backend) <= len(backend.wires)
+
     def take_wire(self, backend: Backend, values: dict, prepared) -> Wire | None:
         """An idle wire, one that fits the session before one that needs a RESET.
 
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -1,6 +1,6 @@
 """The news a daemon holds and passes on; none of it ever moves back within a process life."""
 from ..common.blueprint import Blueprint, decode_blueprint
-from .messages import Digest, News, Record, digest_records
+from .messages import Digest, LaneNews, News, Record, digest_records
 
 
 class Board:
@@ -9,7 +9,7 @@
     >>> board = Board(); board.take(News(b'{"ver": 3}', 1, ["z"], []))
     True
     >>> board.digest()
-    Digest(blueprint=3, evacuations=1, records=0)
+    Digest(blueprint=3, evacuations=1, records=0, lanes=0)
     """
 
     def __init__(self):
@@ -19,14 +19,16 @@
         self.zones: list[str] = []
         self.records: dict[str, Record] = {}
         self.known_digest = 0
+        self.lanes = LaneNews(0, [], [])
 
     def digest(self) -> Digest:
         """What this board holds.
 
         >>> Board().digest()
-        Digest(blueprint=0, evacuations=0, records=0)
+        Digest(blueprint=0, evacuations=0, records=0, lanes=0)
         """
-        return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest)
+        return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest,
+                      self.lanes.order)
 
     def take(self, news: News) -> bool:
         """Takes what is newer; tells whether anything was.
@@ -41,6 +43,8 @@
                 self.blueprint, self.raw, changed = blueprint, news.blueprint, True
         if news.zones is not None and news.evacuations > self.evacuations:
             self.evacuations, self.zones, changed = news.evacuations, news.zones, True
+        if news.lanes is not None and news.lanes.order > self.lanes.order:
+            self.lanes, changed = news.lanes, True
         newer = [record for record in news.records or () if self.newer(record)]
         if newer:
             self.records.update((record.name, record) for record in newer)
@@ -80,5 +84,6 @@
             mine.evacuations,
             self.zones if mine.evacuations > held.evacuations else None,
             list(self.records.values()) if mine.records != held.records else None,
+            self.lanes if mine.lanes > held.lanes else None,
         )
-        return news if news.blueprint or news.zones is not None or news.records else None
+        return news if news.blueprint or news.zones is not None or news.records or news.lanes else None
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -45,6 +45,7 @@
     blueprint: int = 0
     evacuations: int = 0
     records: int = 0
+    lanes: int = 0
 
 
 class Sighting(msgspec.Struct, array_like=True, frozen=True):
@@ -91,6 +92,7 @@
     positions: list[Sighting] = []
     want_report: bool = False
     log_level: str = ""
+    settled: bool = True         # whether this registrar hears a majority and lacks nothing decided
 
 
 class Follow(Message):
@@ -99,6 +101,14 @@
     digest: Digest
 
 
+class LaneNews(msgspec.Struct, array_like=True, frozen=True):
+    """The priority lanes: which are in force, and which are offered or in force next."""
+
+    order: int                   # twice the generation, and one more once in force
+    databases: list[str]
+    offered: list[str]
+
+
 class News(Message):
     """Only what the receiver lacks."""
 
@@ -106,6 +116,7 @@
     evacuations: int
     zones: list[str] | None
     records: list[Record] | None
+    lanes: LaneNews | None = None
 
 
 class PeerBeat(Message):
@@ -115,7 +126,7 @@
     """
 
     decided: dict[str, Ballot] | None        # None: as last told
-    sessions: list[tuple[str, str, str]] | None   # node, zone, address; None: as last told
+    sessions: list[tuple[str, str, str, int]] | None   # node, zone, address, lanes; None: as last told
     heard: dict[str, int]                    # backend: ms since its last beat; only those heard anew
     dark: dict[str, int]                     # backend: ms since probes first failed here
     hears: list[str]
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -1,6 +1,7 @@
 """The commands of `sumacloom fleet`."""
 import json
 import sys
+import time
 import urllib.parse
 
 from ..common.results import Err, Ok, Result, exit_code, mishap
@@ -146,8 +147,60 @@
     return table("zones", at, json)
 
 
+def lanes(*, at: str = "", json: bool = False) -> int:
+    """Lists the databases in the priority lane, and the counters an offer still waits for.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return table("lanes", at, json)
+
+
+def set_lanes(*databases: str, at: str = "", wait: float = 10.0) -> int:
+    """Gives databases the priority lane, in place of those that had it; waits until every counter honours it.
+
+    :param databases: the databases
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param wait: how many seconds to wait for it to be in force
+    """
+    return send_lanes(list(databases), at, wait)
+
+
+def clear_lanes(*, at: str = "", wait: float = 10.0) -> int:
+    """Takes the priority lane back from every database.
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param wait: how many seconds to wait for it to be in force
+    """
+    return send_lanes([], at, wait)
+
+
+def send_lanes(databases: list[str], at: str, wait: float) -> int:
+    """Offers the lanes, then watches them come into force.
+
+    >>> send_lanes([], "nowhere", 0.0)
+    2
+    """
+    body = json.dumps({"databases": databases}).encode()
+    offered = ask(at, "PUT", "/api/admin/lanes", dict, body)
+    if offered.is_err():
+        return finish(offered)
+    cutoff, generation = time.monotonic() + wait, offered.ok().get("generation", 0)
+    while True:
+        counters = ask(at, "GET", "/api/admin/counters", list)
+        if counters.is_err():
+            return finish(counters)
+        behind = [row.get("node", "?") for row in counters.ok() if row.get("lanes_held", 0) < generation * 2 + 1]
+        if not behind:
+            print(f"the lanes {generation} are in force at {len(counters.ok())} counters: {', '.join(databases) or 'none'}")
+            return 0
+        if time.monotonic() >= cutoff:
+            return finish(Err(mishap("lanes_waiting", f"the lanes {generation} still wait for {', '.join(behind)}")))
+        time.sleep(0.2)
+
+
 def query(text: str, *, at: str = "", json: bool = False) -> int:
-    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones.
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes.
 
     :param text: the query, in one argument
     :param at: registrars to ask, IP:PORT,IP:PORT
@@ -276,5 +329,6 @@
 COMMANDS = {
     "status": status, "members": members, "registrars": registrars, "backends": backends, "rotation": rotation,
     "duties": duties, "zones": zones, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
+    "lanes": lanes, "lane": {"set": set_lanes, "clear": clear_lanes},
     "blueprint": {"get": get, "check": check, "put": put},
 }
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -11,15 +11,16 @@
 from ..common.results import mishap
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
-from . import duties
+from . import duties, lanes
 from .ctl import serves
-from .values import KEYS
+from .values import KEYS, decode
 
 scribe = Scribe("admin")
 GATHER_S = 0.6
 COUNTERS_S = 0.25
 STEP_S = 0.02
-TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones")
+TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones",
+          "lanes")
 
 
 async def own_part(shell) -> dict:
@@ -52,7 +53,7 @@
         } for key in KEYS],
         "members": [
             {"node": name, "zone": zone, "address": address, "registrar": node, "heard_ms": round((now - heard) * 1000)}
-            for name, (zone, address, heard) in sorted(office.roster.sessions.items())
+            for name, (zone, address, heard, _lanes) in sorted(office.members.sessions.items())
         ],
         "counters": [report["counter"] for report in reports],
         "rotation": [row for report in reports for row in report["rotation"]],
@@ -88,6 +89,7 @@
             "duty": duties.DUTY, "holder": duty.holder if duty else "", "fence": duty.fence if duty else 0,
             "vacant": duties.vacant(office, now),
         }],
+        "lanes": lane_rows(office, now),
         "zones": [
             {"zone": zone, "region": region, "evacuated": zone in office.board.zones}
             for zone, region in sorted(shell.settings.zones.items())
@@ -95,6 +97,21 @@
     }
 
 
+def lane_rows(office, now: float) -> list[dict]:
+    """A row for each database that is or will be in the priority lane.
+
+    >>> lane_rows.__name__
+    'lane_rows'
+    """
+    held = office.board.lanes
+    waiting = ",".join(office.members.lacking(held.order, now)) if held.order % 2 == 0 and held.order else ""
+    return [
+        {"database": database, "generation": held.order // 2, "in_force": database in held.databases,
+         "offered": database in held.offered, "waits_for": waiting}
+        for database in sorted({*held.databases, *held.offered})
+    ]
+
+
 async def gather(shell) -> dict:
     """The whole fleet's tables; registrars that don't answer in time are left out, and named as unheard.
 
@@ -180,6 +197,33 @@
     return json_reply(200, (await gather(shell))[name])
 
 
+@serves("PUT", r"/api/admin/lanes")
+async def put_lanes(shell, request: Request) -> Reply:
+    """Offers a set of databases for the priority lane; it comes into force once every counter holds it.
+
+    >>> put_lanes.__name__
+    'put_lanes'
+    """
+    try:
+        databases = json.loads(request.body)["databases"]
+    except (ValueError, KeyError, TypeError):
+        databases = None
+    if not isinstance(databases, list) or len(databases) > lanes.MOST_LANES or not all(
+            isinstance(name, str) and name and " " not in name for name in databases):
+        return mishap_reply(mishap("bad_request", "the body must be {\"databases\": [names]}"))
+    blueprint = shell.office.board.blueprint
+    known = {route.host for route in blueprint.routes} if blueprint else set()
+    unknown = sorted(set(databases) - known)
+    if unknown:
+        return mishap_reply(mishap("unknown_database", f"the blueprint has no database '{unknown[0]}'"))
+    result = await shell.decide(lanes.KEY, lanes.offer(databases))
+    if result.is_err():
+        return mishap_reply(result.err())
+    value = decode(lanes.LanesValue, result.ok()[1])
+    return json_reply(200, {"generation": value.generation if value else 0, "databases": sorted(set(databases)),
+                            "in_force": value.in_force if value else True})
+
+
 @serves("PUT", r"/api/admin/log-level")
 async def put_log_level(shell, request: Request) -> Reply:
     """The log level of the whole fleet, until each process ends.
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -129,6 +129,7 @@
         scribe.say("the registrar %s is heard", peer)
     office.peers[peer] = (now, message)
     office.roster.hear_peer(peer, message, now)
+    office.members.hear_peer(peer, message.sessions, now)
     if message.records:
         office.tell_records(office.roster.take_records(message.records, now), now)
     elif message.digest != office.board.known_digest and office.board.records:
--- /dev/null
+++ b/sumacloom/registrar/members.py
@@ -0,0 +1,126 @@
+"""Members: the counters in session here, and those that the peers tell of."""
+from typing import NamedTuple
+
+from ..common.logs import Scribe
+
+scribe = Scribe("roster")
+SESSION_S = 2.5          # a quiet session ends after this; longer than a counter's own lease
+LEFT = -1
+
+
+class Session(NamedTuple):
+    """A counter's session.
+
+    >>> Session("z", "10.0.0.1:7441", 0.0).lanes
+    0
+    """
+
+    zone: str
+    address: str
+    heard_at: float
+    lanes: int = 0           # what it holds of the lanes, as its digest says
+
+
+class Members:
+    """The sessions that stand, and the counters that have only just left."""
+
+    def __init__(self):
+        self.sessions: dict[str, Session] = {}
+        self.departed: dict[str, float] = {}
+        self.peers: dict[str, tuple] = {}          # peer: (heard at, [(node, zone, address, lanes)])
+
+    def hear(self, node: str, zone: str, address: str, now: float, lanes: int = 0) -> bool:
+        """A counter's heartbeat; tells whether its session is new.
+
+        >>> Members().hear("edge-1", "z", "10.0.0.1:7441", 0.0)
+        True
+        """
+        fresh = node not in self.sessions
+        self.sessions[node] = Session(zone, address, now, lanes)
+        self.departed.pop(node, None)
+        if fresh:
+            scribe.say("the counter %s is a member", node)
+        return fresh
+
+    def end(self, node: str, now: float) -> None:
+        """A counter's session is over.
+
+        >>> Members().end("edge-1", 0.0)
+        """
+        if self.sessions.pop(node, None):
+            self.departed[node] = now
+            scribe.say("the counter %s is no longer a member here", node)
+
+    def hear_peer(self, peer: str, sessions: list | None, now: float) -> None:
+        """A peer tells its sessions; None says that they are as last told.
+
+        >>> Members().hear_peer("b", [], 0.0)
+        """
+        if sessions is None:
+            sessions = self.peers.get(peer, (now, []))[1]
+        self.peers[peer] = (now, sessions)
+
+    def told(self) -> list[tuple]:
+        """For the peers: our sessions, and those that have just left.
+
+        >>> Members().told()
+        []
+        """
+        left = [(node, "", "", LEFT) for node in self.departed if node not in self.sessions]
+        return [(node, one.zone, one.address, one.lanes) for node, one in self.sessions.items()] + left
+
+    def all(self, now: float) -> dict[str, tuple[str, str, int]]:
+        """Every counter known anywhere: node to (zone, address, lanes); lanes is LEFT for one just gone.
+
+        >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0, 4); members.all(1.0)
+        {'edge-1': ('z', 'a', 4)}
+        """
+        told = [row for heard, rows in self.peers.values() if now - heard < SESSION_S for row in rows]
+        found = {}
+        for node, zone, address, lanes in [*told, *self.told()]:
+            if node not in found or lanes > found[node][2]:
+                found[node] = (zone, address, lanes)
+        return found
+
+    def count(self, now: float) -> int:
+        """How many counters are members.
+
+        >>> Members().count(0.0)
+        0
+        """
+        return sum(lanes != LEFT for _zone, _address, lanes in self.all(now).values())
+
+    def lacking(self, lanes: int, now: float) -> list[str]:
+        """The counters not known to hold a generation of the lanes, those just gone among them.
+
+        >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0, 2); members.lacking(4, 0.0)
+        ['edge-1']
+        """
+        return sorted(node for node, (_zone, _address, held) in self.all(now).items() if held < lanes)
+
+    def parent(self, node: str, home: str, fan: int) -> str:
+        """Where a counter takes its news from: an address, or nothing for the registrar itself.
+
+        The members in session here form a tree by zone; in another zone than the registrar's
+        only the first is a direct child, so news crosses the border once.
+
+        >>> members = Members()
+        >>> _fresh = [members.hear(f"edge-{n}", "far", f"10.0.0.{n}:7441", 0.0) for n in (1, 2)]
+        >>> members.parent("edge-2", "near", 4)
+        '10.0.0.1:7441'
+        """
+        zone = self.sessions[node].zone
+        siblings = sorted(name for name, session in self.sessions.items() if session.zone == zone)
+        place = siblings.index(node)
+        direct = fan if zone == home else 1
+        return "" if place < direct else self.sessions[siblings[(place - direct) // fan]].address
+
+    def sweep(self, now: float) -> None:
+        """Ends quiet sessions, and forgets those that left long enough ago.
+
+        >>> Members().sweep(0.0)
+        """
+        for node in [node for node, session in self.sessions.items() if now - session.heard_at > SESSION_S]:
+            self.end(node, now)
+        for node in [node for node, left in self.departed.items() if now - left > SESSION_S]:
+            del self.departed[node]
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -11,9 +11,10 @@
 from ..common.types import NO_BALLOT, Ballot
 from ..courier.board import Board
 from ..courier.messages import Decided, News, PeerBeat, Prepare, Tell
-from . import duties
+from . import duties, lanes
 from .hearing import HEARERS
 from .register import Acceptor, Ballots, Proposal, Slot
+from .members import Members
 from .roster import Roster
 from .values import KEYS, BlueprintValue, DutyValue, EvacuationsValue, decode, keep
 
@@ -33,7 +34,8 @@
         self.nonce = random.getrandbits(48)
         self.random = random
         self.board = Board()
-        self.roster = Roster(self.board)
+        self.roster, self.members = Roster(self.board), Members()
+        self.lanes_at = now
         self.seeds = [split_address(seed)[0] for seed in settings.seeds]
         self.ballots = Ballots(self.me, self.nonce, random)
         self.decided: dict[str, tuple] = {}
@@ -197,6 +199,12 @@
                 if found != self.duty:
                     scribe.say("the failover duty is with %s, fence %d", found.holder or "nobody", found.fence)
                 self.duty = found
+        elif key == lanes.KEY:
+            found = decode(lanes.LanesValue, value)
+            self.lanes_at = now
+            if self.board.take(News(None, 0, None, None, found.news())):
+                stage = "in force" if found.in_force else "offered"
+                scribe.say("the lanes %d are %s: %s", found.generation, stage, ", ".join(found.databases) or "none")
         return True
 
     # ------------------------------------------------------------ peers
@@ -242,7 +250,7 @@
         """
         return PeerBeat(
             {key: ballot for key, (ballot, _value) in self.decided.items()} if whole else None,
-            [(node, zone, address) for node, (zone, address, _heard) in self.roster.sessions.items()] if whole else None,
+            self.members.told() if whole else None,
             self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
             [peer for peer in self.others() if self.alive(peer, now)],
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
@@ -272,7 +280,7 @@
             self.tell_all(Tell())
         if now - self.beaten_at >= PEER_BEAT_S:
             self.beaten_at = now
-            state = (len(self.decided), self.duty, self.board.evacuations, sorted(self.roster.sessions),
+            state = (len(self.decided), self.duty, self.board.lanes.order, self.board.evacuations, sorted(self.members.told()),
                      [self.alive(peer, now) for peer in self.others()])
             whole = state != self.told_state or now - self.told_whole_at >= WHOLE_S
             if whole:
@@ -281,12 +289,28 @@
             self.tell_all(self.peer_beat(now, None, sightings, whole))
             self.shared_at = now
             self.told_suspects.clear()
+            self.members.sweep(now)
             self.tell_records(self.roster.sweep(now), now)
         if self.acceptor.learned and now - self.finished_at >= FINISH_S:
             self.finished_at = now
             self.finish_undecided(now)
         if self.votes and "failover" in self.settings.cloud.jobs:
             duties.mind_duty(self, now)
+            lanes.mind_lanes(self, now)
+
+    def settled(self, now: float) -> bool:
+        """Whether we hear a majority, and lack nothing that is decided as far as it tells.
+
+        >>> Office.settled.__name__
+        'settled'
+        """
+        living = [peer for peer in self.acceptor.voters if self.alive(peer, now)]
+        if len(living) <= len(self.acceptor.voters) // 2 or not self.acceptor.learned:
+            return False
+        told = [self.peers[peer][1].decided or {} for peer in living if peer != self.me]
+        mine = {key: self.decided.get(key, (NO_BALLOT,))[0] for key in KEYS}
+        return all(self.acceptor.slots.get(key, Slot()).accepted <= mine[key] for key in KEYS) and not any(
+            Ballot(*ballot) > mine[key] for decided in told for key, ballot in decided.items() if key in mine)
 
     def finish_undecided(self, now: float) -> None:
         """The sweep: settles values that are accepted here but not known to be decided.
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -1,4 +1,4 @@
-"""Backends and members as one registrar knows them: beats, tombstones, sessions, suspicions."""
+"""Backends as one registrar knows them: beats, tombstones, sightings, suspicions."""
 import msgspec
 from msgspec import structs
 
@@ -12,7 +12,7 @@
 TOMBSTONE_S = 60.0
 NEW_LIFE_S = 3.0
 SILENT_S = 30.0
-SESSION_S = 2.5
+PEER_S = 2.5
 SUSPECT_S = 3.0
 SIGHT_S = 2.0
 HEARD_STEP_S = 0.1
@@ -30,7 +30,7 @@
 
 
 class Roster:
-    """What this registrar knows of backends and members."""
+    """What this registrar knows of backends."""
 
     def __init__(self, board: Board):
         self.board = board
@@ -38,8 +38,7 @@
         self.heard_at: dict[str, float] = {}       # by any registrar, on our clock
         self.heard_told: dict[str, float] = {}     # when we learned so
         self.gone_at: dict[str, float] = {}
-        self.sessions: dict[str, tuple] = {}       # node: (zone, address, heard at)
-        self.peer_sessions: dict[str, tuple] = {}  # peer: (heard at, [(node, zone, address)])
+        self.peer_heard: dict[str, float] = {}
         self.suspected: dict[str, float] = {}      # backend: when a counter last told of a mishap
         self.probed: dict[str, float] = {}         # backend: since when our probes fail
         self.sighted: dict[str, tuple] = {}        # replica: (seen at, position, told here first)
@@ -136,13 +135,12 @@
         return fresh
 
     def hear_peer(self, peer: str, beat, now: float) -> None:
-        """A peer's heartbeat: its sessions, what it heard, what it finds dark.
+        """A peer's heartbeat: what it heard, what it finds dark.
 
         >>> Roster.hear_peer.__name__
         'hear_peer'
         """
-        sessions = beat.sessions if beat.sessions is not None else self.peer_sessions.get(peer, (now, []))[1]
-        self.peer_sessions[peer] = (now, sessions)
+        self.peer_heard[peer] = now
         self.peer_dark[peer] = {name: now - dark / 1000 for name, dark in beat.dark.items()}
         for name, age in beat.heard.items():
             heard = now - age / 1000
@@ -230,13 +228,13 @@
         >>> roster = Roster(Board()); roster.probed["i"] = 1.0
         >>> roster.dark_since("i", 3, 2.0) is None
         True
-        >>> roster.peer_dark["b"] = {"i": 1.4}; roster.peer_sessions["b"] = (2.0, []); roster.dark_since("i", 3, 2.0)
+        >>> roster.peer_dark["b"] = {"i": 1.4}; roster.peer_heard["b"] = 2.0; roster.dark_since("i", 3, 2.0)
         1.4
         """
         times = [self.probed[name]] if name in self.probed else []
         times += [
             dark[name] for peer, dark in self.peer_dark.items()
-            if name in dark and now - self.peer_sessions[peer][0] < SESSION_S
+            if name in dark and now - self.peer_heard[peer] < PEER_S
         ]
         majority = voters // 2 + 1
         if len(times) < majority:
@@ -244,65 +242,12 @@
         since = sorted(times)[majority - 1]
         return None if self.heard_at.get(name, -1e9) > since else since
 
-    def session(self, node: str, zone: str, address: str, now: float) -> bool:
-        """A counter's session stands; tells whether it is new.
-
-        >>> Roster(Board()).session("edge-1", "z", "10.0.0.1:7441", 0.0)
-        True
-        """
-        fresh = node not in self.sessions
-        self.sessions[node] = (zone, address, now)
-        if fresh:
-            scribe.say("the counter %s is a member", node)
-        return fresh
-
-    def end_session(self, node: str) -> None:
-        """A counter's session is over.
-
-        >>> Roster(Board()).end_session("edge-1")
-        """
-        if self.sessions.pop(node, None):
-            scribe.say("the counter %s is no longer a member here", node)
-
-    def members(self, now: float) -> dict[str, tuple[str, str]]:
-        """All members, whoever holds their session: node to (zone, address).
-
-        >>> Roster(Board()).members(0.0)
-        {}
-        """
-        found = {
-            node: (zone, address)
-            for heard, sessions in self.peer_sessions.values() if now - heard < SESSION_S
-            for node, zone, address in sessions
-        }
-        found.update((node, (zone, address)) for node, (zone, address, _heard) in self.sessions.items())
-        return found
-
-    def parent(self, node: str, home: str, fan: int, now: float) -> str:
-        """Where a counter takes its news from: an address, or nothing for the registrar itself.
-
-        The members in session here form a tree by zone; in another zone than the registrar's
-        only the first is a direct child, so news crosses the border once.
-
-        >>> roster = Roster(Board())
-        >>> _fresh = [roster.session(f"edge-{n}", "far", f"10.0.0.{n}:7441", 0.0) for n in (1, 2)]
-        >>> roster.parent("edge-2", "near", 4, 0.0)
-        '10.0.0.1:7441'
-        """
-        zone = self.sessions[node][0]
-        siblings = sorted(name for name, session in self.sessions.items() if session[0] == zone)
-        place = siblings.index(node)
-        direct = fan if zone == home else 1
-        return "" if place < direct else self.sessions[siblings[(place - direct) // fan]][1]
-
     def sweep(self, now: float) -> list[Record]:
         """Ends what is long silent; forgets old tombstones. Gives records that changed.
 
         >>> Roster(Board()).sweep(0.0)
         []
         """
-        for node in [node for node, (_z, _a, heard) in self.sessions.items() if now - heard > SESSION_S]:
-            self.end_session(node)
         old = [name for name, gone in self.gone_at.items() if now - gone > TOMBSTONE_S]
         for name in old:
             del self.gone_at[name]
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -167,7 +167,7 @@
         finally:
             if link.peer and self.counters.get(link.peer.node) is link:
                 del self.counters[link.peer.node]
-                self.office.roster.end_session(link.peer.node)
+                self.office.members.end(link.peer.node, self.now())
             await link.close()
 
     def hear_counter(self, link: Link, message, now: float) -> None:
@@ -185,7 +185,7 @@
             return
         if not isinstance(message, MemberBeat):
             return
-        office.roster.session(node, link.peer.zone, link.peer.address, now)
+        office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes)
         self.counters[node] = link
         link.digest = message.digest
         if message.report:
@@ -196,7 +196,7 @@
                 office.roster.suspect(name, now)
                 office.told_suspects.add(name)
                 office.beaten_at = -1e9
-        link.parent = office.roster.parent(node, self.settings.zone, FAN, now)
+        link.parent = office.members.parent(node, self.settings.zone, FAN)
         self.beat_counter(link, now)
 
     def beat_counter(self, link: Link, now: float, want_report: bool = False, level: str = "") -> None:
@@ -207,11 +207,12 @@
         """
         office = self.office
         registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
-        members = max(1, len(office.roster.members(now)))
+        members = max(1, office.members.count(now))
         sightings = office.roster.sightings(link.shared_at, now)
         link.shared_at = now
         link.send(RegistrarBeat(
-            office.board.digest(), members, link.parent, registrars, sightings, want_report, level))
+            office.board.digest(), members, link.parent, registrars, sightings, want_report, level,
+            office.settled(now)))
 
     # ------------------------------------------------------------ the duty
     def may_act(self) -> bool:
--- a/sumacloom/registrar/values.py
+++ b/sumacloom/registrar/values.py
@@ -5,7 +5,7 @@
 
 from ..common.results import Err, Ok, mishap
 
-KEYS = ("blueprint", "evacuations", "duty/failover")
+KEYS = ("blueprint", "evacuations", "duty/failover", "lanes")
 HISTORY = 64
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,6 +15,7 @@
 from sumacloom.registrar import duties
 from sumacloom.registrar.check import check_blueprint
 from sumacloom.registrar.failover import Ask, Promote, Rest, draw_plan, hand_over, read_row, replace_dead
+from sumacloom.registrar.members import Members
 from sumacloom.registrar.office import Office
 from sumacloom.registrar.roster import Roster
 
@@ -213,11 +214,11 @@
 
 
 def test_the_tree_sends_news_over_a_border_once_and_spreads_it_by_the_fan():
-    roster = Roster(Board())
+    members = Members()
     for number in range(9):
-        roster.session(f"edge-{number}", "a", f"10.0.0.{number}:7441", 0.0)
-    assert [roster.parent(f"edge-{n}", "a", 4, 0.0) for n in range(9)] == [""] * 4 + ["10.0.0.0:7441"] * 4 + ["10.0.0.1:7441"]
-    assert [roster.parent(f"edge-{n}", "b", 4, 0.0) for n in range(3)] == ["", "10.0.0.0:7441", "10.0.0.0:7441"]
+        members.hear(f"edge-{number}", "a", f"10.0.0.{number}:7441", 0.0)
+    assert [members.parent(f"edge-{n}", "a", 4) for n in range(9)] == [""] * 4 + ["10.0.0.0:7441"] * 4 + ["10.0.0.1:7441"]
+    assert [members.parent(f"edge-{n}", "b", 4) for n in range(3)] == ["", "10.0.0.0:7441", "10.0.0.0:7441"]
 
 
 def test_dark_takes_a_majority_and_one_beat_clears_it():
