--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -97,7 +97,8 @@
         >>> Floor(Settings("n", "r", "10.0.0.1", "z")).close_idle(0.0)
         """
         for session in list(self.sessions.values()):
-            if session.database and session.state == "I" and session.errand is None and not session.waiting:
+            resting = session.state == "I" and session.errand is None and not session.waiting
+            if session.database and resting:
                 self.shut_session(session, now)
 
     # ------------------------------------------------------------ sessions
@@ -304,6 +305,7 @@
         yard = self.yard
         ground = yard.ground(errand.rule.service)
         if errand.plan[0] == "rotation":
+            ground.read_at = now
             errand.needed = self.needed(errand, ground, now)
             if errand.needed is None:
                 return False
@@ -312,7 +314,8 @@
                 errand.fall_back()
         if errand.plan[0] == "lead":
             backends = yard.lead_candidates(ground, errand.rule, now)[:1]
-            ground.headless_since = None if backends else ground.headless_since or now
+            alive = backends and (backends[0].idle or backends[0].dark_since is None)
+            ground.headless_since = None if alive else ground.headless_since or now
         for backend in backends:
             if backend.name in full:
                 continue
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -6,6 +6,7 @@
 scribe = Scribe("upkeep")
 SETUP_CUTOFF_S = 0.25
 OWN_CUTOFF_S = 0.8
+UNREAD_S = 5.0         # where nothing was drawn from a rotation for so long, it is not swept
 DIAL_CUTOFF_S = 0.8
 READ_AGAIN_S = 0.9
 UNLISTED_S = 2.3
@@ -162,7 +163,7 @@
 
 
 def sweep(floor, now: float) -> None:
-    """Asks each replica for its position once a second, unless traffic showed it.
+    """Asks each replica for its position once a second, unless traffic showed it or nobody reads.
 
     >>> sweep.__name__
     'sweep'
@@ -170,7 +171,7 @@
     if floor.leaving != "serving":
         return
     for ground in floor.yard.grounds.values():
-        if now - ground.swept_at < floor.settings.health.sweep_s * 0.9:
+        if now - ground.swept_at < floor.settings.health.sweep_s * 0.9 or now - ground.read_at > UNREAD_S:
             continue
         ground.swept_at = now
         due = [
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -12,7 +12,7 @@
 ASK_CUTOFF_S = 0.7
 PROBE_CUTOFF_S = 0.3
 OTHERS_S = 0.15       # how long the rest of a batch is waited for once one has answered
-PROMOTE_CUTOFF_S = 2.5
+PROMOTE_CUTOFF_S = 1.2
 
 RUNNERS = {}
 
--- a/sumacloom/registrar/failover.py
+++ b/sumacloom/registrar/failover.py
@@ -8,8 +8,8 @@
 from ..common.types import Position, read_position
 from ..courier.messages import Record
 
-CATCH_UP_TRIES = 40
-PROMOTE_TRIES = 8
+CATCH_UP_TRIES = 20
+MOST_BEHIND, MOST_LAG_MS = 300, 1000.0     # further back, a replica would not catch up in time
 
 
 class Ask(NamedTuple):
@@ -81,26 +81,20 @@
 
 
 def promote(service: str, target: Record):
-    """Calls the platform until it answers clearly: True if the backend leads.
+    """Calls the platform: True if it says that the backend leads.
 
     >>> plan = promote("s", Record("i", "s", "a", "z")); next(plan)
     [Promote(service='s', backend='i')]
     """
-    for number in range(PROMOTE_TRIES):
-        command = Promote(service, target.name)
-        status = (yield [command])[command]
-        if 200 <= status < 300:
-            return True
-        if 400 <= status < 500 and status not in (408, 429):
-            return False
-        yield [Rest(min(1.0, 0.1 * 2 ** number))]
-    return False
+    command = Promote(service, target.name)
+    return 200 <= (yield [command])[command] < 300
 
 
 def replace_dead(service: str, dead: Record | None, replicas: list[Record], sync_acks: int):
-    """The primary is dark: freezes the replicas, draws the furthest, promotes it.
+    """The primary is dark: freezes the replicas if need be, draws the furthest, promotes it.
 
-    Gives the name of the backend that leads now, or nothing.
+    Gives the name of the backend that leads now, or nothing; a promotion that got no clear answer is not
+    tried again here, since the next plan is drawn from a fresh look at the fleet.
 
     >>> plan = replace_dead("s", None, [Record("i", "s", "a", "z")], 0)
     >>> [ask.text for ask in next(plan)]
@@ -146,6 +140,9 @@
         return ""
     goal = max(row.position for row in rows.values())
     if own is not None and own.role == "primary":
+        if not any(near(row, own) for row in rows.values()):
+            yield [Rest(0.2)]
+            return ""
         term = max(row.term for row in [own, *rows.values()]) + 1
         step = Ask(leaver, f"STEPDOWN {term}")
         row = (yield [step])[step]
@@ -161,11 +158,22 @@
         yield [Rest(0.02)]
         rows = rows_of((yield [Ask(backend, "STAT") for backend in replicas])) or rows
     ready = {backend: row for backend, row in rows.items() if row.position >= goal}
-    target = best_of(ready or rows)
+    # nobody has caught up: the one that stepped down holds everything, and leads on
+    target = best_of(ready) if ready else (leaver if own is not None else best_of(rows))
     done = yield from promote(service, target)
     return target.name if done else ""
 
 
+def near(row: Row, own: Row) -> bool:
+    """Whether a replica is near enough to its primary to catch up at once.
+
+    >>> near(read_row("replica 3 3.8 0 20 0 0"), read_row("primary 3 3.9 0 0 0 0"))
+    True
+    """
+    behind = own.position.number - row.position.number
+    return row.position.term == own.position.term and behind <= MOST_BEHIND and row.lag_ms <= MOST_LAG_MS
+
+
 def draw_plan(service: str, records: list[Record], zones: list[str], dark_since, sync_acks: int, now: float,
               dark_s: float, nobody_since: float | None):
     """The plan that a service needs now, if any: (name, plan).
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -34,7 +34,7 @@
         self.out_links: dict[str, Link] = {}       # peer ip: link we dialled
         self.counters: dict[str, Link] = {}        # node: its link
         self.waiting: list[tuple] = []             # (proposal, event)
-        self.plans, self.probing = {}, set()
+        self.plans, self.probing, self.failures = {}, set(), {}
         self.parts: dict[int, dict] = {}           # inquiry: peer ip: its tables
         self.inquiries = 0
         self.errands: list = []                    # coroutine functions to be run beside the links
@@ -287,7 +287,8 @@
             scribe.say("%s for %s begins", name, service)
             leads = await run_plan(self, plan)
             scribe.say("%s for %s ended, %s leads", name, service, leads or "nobody new")
-            await curio.sleep(0.5 if leads else 0.2)
+            self.failures[service] = 0 if leads else self.failures.get(service, 0) + 1
+            await curio.sleep(0.5 if leads else min(1.0, 0.1 * 2 ** self.failures[service]))
         finally:
             self.plans.pop(service, None)
 
