--- a/sumacloom/common/http.py
+++ b/sumacloom/common/http.py
@@ -6,6 +6,7 @@
 import h11
 
 MOST_BODY = 4 << 20
+MOST_HEAD = 16 << 10
 IDLE_S = 30.0
 READ_S = 8.0
 
@@ -60,7 +61,7 @@
     >>> serve_wire.__name__
     'serve_wire'
     """
-    machine = h11.Connection(h11.SERVER, max_incomplete_event_size=64 << 10)
+    machine = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
     try:
         async with sock:
             while True:
--- a/sumacloom/fleet/client.py
+++ b/sumacloom/fleet/client.py
@@ -97,7 +97,7 @@
             return Ok(answered) if answered.status < 300 else Err(read_mishap(answered))
         if answered:
             last = read_mishap(answered)
-        if clock() - started >= patience_s:
+        if number >= len(addresses) and clock() - started >= patience_s:
             return Err(last)
         if number % len(addresses) == 0:
             rest(pause)
