--- a/sumacloom/common/http.py
+++ b/sumacloom/common/http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 over curio with h11: a small server and a small client, both bounded."""
 import json
+import socket
 from typing import NamedTuple
 
 import curio
@@ -9,6 +10,7 @@
 MOST_HEAD = 16 << 10
 IDLE_S = 30.0
 READ_S = 8.0
+LINGER_S, MOST_LINGER = 0.5, 1 << 20
 
 
 class Request(NamedTuple):
@@ -70,12 +72,26 @@
                     return
                 await send_reply(sock, machine, reply)
                 if machine.our_state is h11.MUST_CLOSE or machine.states[h11.CLIENT] is not h11.DONE:
+                    await read_out(sock)
                     return
                 machine.start_next_cycle()
     except (OSError, h11.LocalProtocolError, curio.TaskTimeout):
         return
 
 
+async def read_out(sock) -> None:
+    """Reads a little of what still comes, so that closing doesn't reset the reply on its way.
+
+    >>> read_out.__name__
+    'read_out'
+    """
+    sock._socket.shutdown(socket.SHUT_WR)
+    async with curio.ignore_after(LINGER_S):
+        for _chunk in range(MOST_LINGER >> 16):
+            if not await sock.recv(65536):
+                return
+
+
 async def one_exchange(sock, machine, handler, most_body: int) -> Reply | None:
     """Reads one request and has it handled; None at the end of the connection.
 
