--- a/sumacloom/common/http.py
+++ b/sumacloom/common/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over curio with h11: a small server and a small client, both bounded."""
 import json
 import socket
+import struct
 from typing import NamedTuple
 
 import curio
@@ -159,8 +160,13 @@
                 data = machine.send(h11.Request(method=method, target=path, headers=lines))
                 if body:
                     data += machine.send(h11.Data(data=body))
-                await sock.sendall(data + machine.send(h11.EndOfMessage()))
-                return await read_reply(sock, machine)
+                try:
+                    await sock.sendall(data + machine.send(h11.EndOfMessage()))
+                    return await read_reply(sock, machine)
+                except curio.CancelledError:
+                    # given up: a reset takes back what a cut still holds up, so that it can't land late
+                    sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    raise
     except (OSError, curio.TaskTimeout, h11.ProtocolError):
         return 0, {}, b""
 
--- a/sumacloom/registrar/caretaker.py
+++ b/sumacloom/registrar/caretaker.py
@@ -56,6 +56,10 @@
             await curio.spawn(probe, shell, records[name], daemon=True)
     if not may_act(shell):
         return
+    if shell.duty_known != (office.duty.holder, office.duty.nonce):
+        # what an earlier holder left unfinished may yet land; the very first holder has none before it
+        shell.duty_known = (office.duty.holder, office.duty.nonce)
+        shell.doubts = {record.service for record in records.values()} if office.duty.fence > 1 else set()
     services = {}
     for record in records.values():
         services.setdefault(record.service, []).append(record)
@@ -69,7 +73,8 @@
         if service in shell.plans or service not in known:
             continue
         drawn = draw_plan(service, members, office.board.zones, lambda name: roster.dark_since(name, voters, now),
-                          known[service].sync_acks, now, DARK_S, shell.nobody_since.get(service))
+                          known[service].sync_acks, now, DARK_S, shell.nobody_since.get(service),
+                          service in shell.doubts and known[service].sync_acks > 0)
         if drawn:
             shell.plans[service] = drawn[0]
             await curio.spawn(carry_out, shell, service, *drawn, daemon=True)
@@ -87,7 +92,10 @@
             await curio.sleep(0.2)
             return
         scribe.say("%s for %s begins", name, service)
+        doubtful = service in shell.doubts
         leads = await run_plan(shell, plan)
+        if leads and doubtful:
+            shell.doubts.discard(service)
         scribe.say("%s for %s ended, %s leads", name, service, leads or "nobody new")
         shell.failures[service] = 0 if leads else shell.failures.get(service, 0) + 1
         if not leads:
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -8,7 +8,8 @@
 from ..courier.links import dial
 from ..courier.messages import Pending
 from . import duties
-from .failover import Announce, Ask, Promote, Rest, Row, read_row
+from .failover import Announce, Ask, Doubt, Fence, Look, Promote, Rest, Row, read_row
+from .values import claim_duty
 
 scribe = Scribe("failover")
 ASK_CUTOFF_S = 0.7
@@ -108,6 +109,39 @@
     await shell.act()
 
 
+@runs(Fence)
+async def run_fence(shell, command: Fence) -> bool:
+    """The duty anew: the same holder, a higher fence.
+
+    >>> RUNNERS[Fence] is run_fence
+    True
+    """
+    office = shell.office
+    result = await shell.decide(duties.DUTY, claim_duty(office.me, office.nonce, office.duty))
+    return result.is_ok()
+
+
+@runs(Look)
+async def run_look(shell, command: Look) -> set:
+    """Who is there now.
+
+    >>> RUNNERS[Look] is run_look
+    True
+    """
+    return {record.name for record in shell.office.board.records.values()
+            if record.service == command.service and record.phase != "gone" and record.role != "primary"}
+
+
+@runs(Doubt)
+async def run_doubt(shell, command: Doubt) -> None:
+    """An unclear call: the next plan begins with a higher fence.
+
+    >>> RUNNERS[Doubt] is run_doubt
+    True
+    """
+    shell.doubts.add(command.service)
+
+
 @runs(Rest)
 async def run_rest(shell, command: Rest) -> None:
     """A pause.
@@ -121,13 +155,12 @@
 async def run_batch(shell, commands: list) -> dict:
     """Runs commands side by side; gives each one's outcome.
 
-    Once a backend has answered, the silent ones are waited for a little only, unless a command is patient.
+    Once a backend has answered, the silent ones are waited for a little only, but for patient commands.
 
     >>> run_batch.__name__
     'run_batch'
     """
     outcomes = dict.fromkeys(commands)
-    hurried = not any(isinstance(command, Ask) and command.patient for command in commands)
 
     tasks = {command: await curio.spawn(RUNNERS[type(command)], shell, command) for command in commands}
     answered_at = None
@@ -135,7 +168,8 @@
         if answered_at is None and any(
                 task.terminated and isinstance(task.result, Row) for task in tasks.values()):
             answered_at = shell.now()
-        if hurried and answered_at is not None and shell.now() - answered_at >= OTHERS_S:
+        patient = any(not task.terminated for command, task in tasks.items() if isinstance(command, Ask) and command.patient)
+        if not patient and answered_at is not None and shell.now() - answered_at >= OTHERS_S:
             break
         await curio.sleep(0.01)
     for command, task in tasks.items():
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -33,6 +33,8 @@
         self.counters: dict[str, Link] = {}        # node: its link
         self.waiting: list[tuple] = []             # (proposal, event)
         self.plans, self.probing, self.failures = {}, set(), {}
+        self.doubts: set[str] = set()              # services for which a promotion may yet land
+        self.duty_known = None                     # the holding of the duty that the doubts belong to
         self.parts: dict[int, dict] = {}           # inquiry: peer ip: its tables
         self.inquiries = 0
         self.errands: list = []                    # coroutine functions to be run beside the links
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,7 +14,8 @@
 from sumacloom.ledger.log import Ledger, pack
 from sumacloom.registrar import duties
 from sumacloom.registrar.check import check_blueprint
-from sumacloom.registrar.failover import Announce, Ask, Promote, Rest, draw_plan, hand_over, read_row, replace_dead
+from sumacloom.registrar.failover import (Announce, Ask, Doubt, Fence, Look, Promote, Rest, draw_plan, hand_over,
+                                          look_over, read_row, replace_dead)
 from sumacloom.registrar.members import Members
 from sumacloom.registrar.office import Office
 from sumacloom.registrar.roster import Roster
@@ -267,8 +268,13 @@
                     asked.append(("platform", command.backend))
                     statuses = outcomes.get("promote", [200])
                     results[command] = statuses.pop(0) if len(statuses) > 1 else statuses[0]
+                elif isinstance(command, Fence):
+                    asked.append(("register", "fence"))
+                    results[command] = outcomes.get("fence", True)
+                elif isinstance(command, Look):
+                    results[command] = outcomes.get("there", {"p", "q", "r"})
                 else:
-                    assert isinstance(command, (Rest, Announce))
+                    assert isinstance(command, (Rest, Announce, Doubt))
                     results[command] = None
             commands = plan.send(results)
     except StopIteration as end:
@@ -276,8 +282,18 @@
     raise AssertionError("the plan never ended")
 
 
-def row(role, term, position, lag=0):
-    return read_row(f"{role} {term} {position} 0 {lag} 0 0")
+def row(role, term, position, lag=0, held=0):
+    return read_row(f"{role} {term} {position} {held} {lag} 0 0")
+
+
+class Turning(dict):
+    """Outcomes that change from one asking to the next: a list is used up but for its last."""
+
+    def get(self, key, default=None):
+        found = super().get(key, default)
+        if isinstance(found, list) and key != "promote":
+            return found.pop(0) if len(found) > 1 else found[0]
+        return found
 
 
 P, Q, R = backend("p", role="primary"), backend("q"), backend("r", zone="b")
@@ -288,9 +304,13 @@
     (0, {("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.9")}, []),
     (0, {("r", "STAT"): row("primary", 4, "4.2"), ("q", "STAT"): row("replica", 3, "3.9")}, []),
     (0, {}, []),
-    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9")}, []),
-    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9"),
-         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11")}, ["r"]),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4)}, []),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4),
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}, ["r"]),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4),      # a pause not taken
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=0)}, []),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4), "there": {"q", "r", "new"},
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}, []),
     (0, {("q", "STAT"): row("replica", 3, "3.9"), "promote": [0]}, ["q"]),    # unclear: a fresh look comes first
     (0, {("q", "STAT"): row("replica", 3, "3.9"), "promote": [409]}, ["q"]),
 ]
@@ -304,6 +324,40 @@
         assert all(text.startswith("PAUSE 4") for _name, text in asked if text.startswith("PAUSE"))
 
 
+FROZEN = {("q", "PAUSE"): row("replica", 3, "3.9", held=4), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}
+STILL = {**FROZEN, ("q", "STAT"): row("replica", 3, "3.9")}
+
+
+def test_with_sync_acks_nothing_is_received_before_the_new_one_leads():
+    """Found with syncAcks 1: CONT went out before the promotion took effect, the returned primary's
+    commit was received and acknowledged, and the promoted log lacked it."""
+    turning = Turning({**STILL, ("r", "STAT"): [row("replica", 3, "3.9")] * 4 + [row("primary", 4, "3.11")]})
+    asked, leads = play(replace_dead("s", P, [Q, R], 1), turning)
+    assert leads == "r" and asked[-1] == ("q", "CONT")
+    assert asked.index(("platform", "r")) < asked.index(("q", "CONT")) - 3
+
+
+@pytest.mark.parametrize("status", [0, 503, 429, 409])
+def test_with_sync_acks_an_unclear_call_leaves_the_replicas_frozen(status):
+    outcomes = {**STILL, ("r", "STAT"): row("replica", 3, "3.9"), "promote": [status]}
+    asked, leads = play(replace_dead("s", P, [Q, R], 1), outcomes)
+    assert not leads and not [text for _who, text in asked if text == "CONT"]
+
+
+def test_after_an_unclear_call_the_fence_rises_before_anything_thaws():
+    """The old primary is back and leads; the earlier call may yet land, so it is fenced off first."""
+    outcomes = {("p", "STAT"): row("primary", 3, "3.12"), ("q", "STAT"): row("replica", 3, "3.9", held=4),
+                ("r", "STAT"): row("replica", 3, "3.11", held=4)}
+    for plan in (replace_dead("s", P, [Q, R], 1, True), look_over("s", [P, Q, R])):
+        asked, leads = play(plan, dict(outcomes))
+        order = [asked.index(step) for step in (("register", "fence"), ("platform", "p"), ("q", "CONT"))]
+        assert leads == "p" and order == sorted(order)
+    asked, _leads = play(look_over("s", [P, Q, R]), {**outcomes, "promote": [0]})
+    assert not [text for _who, text in asked if text == "CONT"]
+    asked, _leads = play(look_over("s", [P, Q, R]), {**outcomes, "fence": False})
+    assert asked == [("register", "fence")]
+
+
 HANDED = [
     ({("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.8"),
       ("p", "STEPDOWN"): row("replica", 4, "3.8")}, ["q"], True),
