--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -4,7 +4,7 @@
 from ..common.logs import Scribe, set_level
 from ..common.settings import split_address
 from ..courier.board import Board
-from ..courier.links import Link, dial, listen, tune
+from ..courier.links import Link, accept_all, dial, listen, tune
 from ..courier.messages import Digest, Follow, Hello, MemberBeat, News, Pending, RegistrarBeat
 
 scribe = Scribe("member")
@@ -306,11 +306,4 @@
         >>> Member.serve_children.__name__
         'serve_children'
         """
-        sock = listen(self.settings.ip, self.high)
-        while True:
-            try:
-                client, _address = await sock.accept()
-            except OSError:
-                await curio.sleep(0.05)
-                continue
-            await curio.spawn(self.take_child, client, daemon=True)
+        await accept_all(listen(self.settings.ip, self.high), self.take_child)
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -8,7 +8,7 @@
 from ..common.signals import Signals
 from ..common.settings import FileWatch, Settings, read_settings, split_address
 from ..courier.board import Board
-from ..courier.links import Outlet, dial, kept, listen, tune
+from ..courier.links import Outlet, accept_all, dial, kept, listen, tune
 from . import losses, outcomes, upkeep
 from .floor import Floor
 from .member import Member
@@ -219,20 +219,6 @@
                 self.member.beat()
             await self.act()
 
-    async def accept(self, sock, serve) -> None:
-        """Takes connections for ever.
-
-        >>> Shell.accept.__name__
-        'accept'
-        """
-        while True:
-            try:
-                client, _address = await sock.accept()
-            except OSError:
-                await curio.sleep(0.05)
-                continue
-            await curio.spawn(serve, client, daemon=True)
-
     async def serve_ready(self, sock) -> None:
         """Tells the platform whether to send clients here.
 
@@ -271,7 +257,7 @@
         settings = self.settings
         for name, serve in (("fe", self.run_session), ("readyz", self.serve_ready)):
             sock = listen(*split_address(getattr(settings.listen, name)))
-            await curio.spawn(kept, scribe, self.accept, sock, serve, daemon=True)
+            await curio.spawn(kept, scribe, accept_all, sock, serve, daemon=True)
         await curio.spawn(kept, scribe, self.member.serve_children, daemon=True)
         await curio.spawn(kept, scribe, self.member.attach, daemon=True)
         scribe.say("serving at %s", settings.listen.fe)
--- a/sumacloom/courier/links.py
+++ b/sumacloom/courier/links.py
@@ -68,6 +68,21 @@
     return sock
 
 
+async def accept_all(sock, serve) -> None:
+    """Takes connections for ever, each served by a task of its own.
+
+    >>> accept_all.__name__
+    'accept_all'
+    """
+    while True:
+        try:
+            client, _address = await sock.accept()
+        except OSError:
+            await curio.sleep(0.05)
+            continue
+        await curio.spawn(serve, client, daemon=True)
+
+
 class Outlet:
     """The sending side of a socket: writes at once what fits, keeps the rest for `flush`.
 
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -93,67 +93,32 @@
     ]
 
 
-def members(*, at: str = "", json: bool = False) -> int:
-    """Lists the counters and where their sessions stand.
+def table_command(name: str, sentence: str):
+    """A command that lists one table.
 
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
+    >>> table_command("duties", "Tells who holds the duty.").__name__
+    'duties'
     """
-    return table("counters", at, json)
-
-
-def registrars(*, at: str = "", json: bool = False) -> int:
-    """Lists the registrars and what they hold.
+    def command(*, at: str = "", json: bool = False) -> int:
+        return table(name, at, json)
+    command.__name__ = name
+    command.__doc__ = f"""{sentence}
 
     :param at: registrars to ask, IP:PORT,IP:PORT
     :param json: rows as JSON
     """
-    return table("registrars", at, json)
-
-
-def backends(*, at: str = "", json: bool = False) -> int:
-    """Lists the backends with role, phase, position and when they were heard.
-
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
-    """
-    return table("backends", at, json)
-
-
-def rotation(*, at: str = "", json: bool = False) -> int:
-    """Lists each counter's rotation: which replicas may serve its reads.
-
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
-    """
-    return table("rotation", at, json)
-
+    return command
 
-def duties(*, at: str = "", json: bool = False) -> int:
-    """Tells who holds the failover duty, and its fence.
 
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
-    """
-    return table("duties", at, json)
-
-
-def zones(*, at: str = "", json: bool = False) -> int:
-    """Lists the zones, and which are evacuated.
-
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
-    """
-    return table("zones", at, json)
-
-
-def lanes(*, at: str = "", json: bool = False) -> int:
-    """Lists the databases in the priority lane, and the counters an offer still waits for.
-
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param json: rows as JSON
-    """
-    return table("lanes", at, json)
+LISTS = {
+    "members": table_command("counters", "Lists the counters and where their sessions stand."),
+    "registrars": table_command("registrars", "Lists the registrars and what they hold."),
+    "backends": table_command("backends", "Lists the backends with role, phase, position and when they were heard."),
+    "rotation": table_command("rotation", "Lists each counter's rotation: which replicas may serve its reads."),
+    "duties": table_command("duties", "Tells who holds the failover duty, and its fence."),
+    "zones": table_command("zones", "Lists the zones, and which are evacuated."),
+    "lanes": table_command("lanes", "Lists the databases in the priority lane, and the counters an offer still waits for."),
+}
 
 
 def set_lanes(*databases: str, at: str = "", wait: float = 10.0) -> int:
@@ -327,8 +292,6 @@
 
 
 COMMANDS = {
-    "status": status, "members": members, "registrars": registrars, "backends": backends, "rotation": rotation,
-    "duties": duties, "zones": zones, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
-    "lanes": lanes, "lane": {"set": set_lanes, "clear": clear_lanes},
-    "blueprint": {"get": get, "check": check, "put": put},
+    "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
+    "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put},
 }
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -8,7 +8,7 @@
 from ..common.logs import Scribe
 from ..common.signals import Signals
 from ..common.settings import FileWatch, Settings, read_settings, split_address
-from ..courier.links import Link, dial, kept, listen, tune
+from ..courier.links import Link, accept_all, dial, kept, listen, tune
 from ..courier.messages import Follow, Hello, MemberBeat, Pending, RegistrarBeat
 from ..ledger.log import Ledger
 from . import admin, ctl
@@ -256,20 +256,6 @@
                 link.outlet.flush()
             await self.act()
 
-    async def accept(self, sock, serve) -> None:
-        """Takes connections for ever.
-
-        >>> Shell.accept.__name__
-        'accept'
-        """
-        while True:
-            try:
-                client, _address = await sock.accept()
-            except OSError:
-                await curio.sleep(0.05)
-                continue
-            await curio.spawn(serve, client, daemon=True)
-
     async def serve_ctl(self, sock) -> None:
         """Serves one HTTP connection.
 
@@ -302,8 +288,8 @@
         """
         settings = self.settings
         host, port = split_address(settings.listen.ctl)
-        await curio.spawn(kept, scribe, self.accept, listen(host, port), self.serve_ctl, daemon=True)
-        await curio.spawn(kept, scribe, self.accept, listen(settings.ip, self.port), self.take_link, daemon=True)
+        await curio.spawn(kept, scribe, accept_all, listen(host, port), self.serve_ctl, daemon=True)
+        await curio.spawn(kept, scribe, accept_all, listen(settings.ip, self.port), self.take_link, daemon=True)
         for peer in self.office.others():
             await curio.spawn(kept, scribe, self.keep_link, peer, daemon=True)
         scribe.say("serving at %s", settings.listen.ctl)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -101,6 +101,15 @@
             self.take(wire.key)
         return [self.wires(name)[0] for name in names or ("p", "q", "r")]
 
+    def begun(self, lead, key=1, database="books"):
+        """A client with a transaction of one write that has succeeded."""
+        self.client(key, database)
+        self.say(key, "QUERY 1 BEGIN")
+        self.say(key, "QUERY 2 PUT a b")
+        self.answer(lead, "DONE -", "READY T 1.11")
+        self.answer(lead, "DONE 7.1", "READY T 1.11")
+        self.take(key), self.take(lead.key)
+
     def anchor(self, wire, position="1.10"):
         """Answers the BEGIN and ABORT that seek an anchor."""
         assert self.take(wire.key) == ["QUERY - BEGIN", "QUERY - ABORT"]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -317,6 +317,8 @@
         print(f"$ sumacloom fleet {' '.join(command)}", flush=True)
         if await fleet(*command):
             raise SystemExit("trial: a command failed")
+    if await fleet("lane", "set", "books") or await fleet("lanes") or await fleet("lane", "clear"):
+        raise SystemExit("trial: the lane did not come into force")
     await service.backends[0].die()
     await until("writes are served after the primary died", served)
     processes["registrar-1"].kill()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,10 +67,10 @@
 CASES = [
     # (replies of a registrar, command, exit code)
     ([reply(200, FLEET)], lambda at: commands.status(at=at), 0),
-    ([reply(200, [])], lambda at: commands.members(at=at), 0),
-    ([reply(200, {"an": "object"})], lambda at: commands.members(at=at), exit_code("garbled")),
+    ([reply(200, [])], lambda at: commands.LISTS["members"](at=at), 0),
+    ([reply(200, {"an": "object"})], lambda at: commands.LISTS["members"](at=at), exit_code("garbled")),
     ([(200, b"<html>", {})], lambda at: commands.status(at=at), exit_code("garbled")),
-    ([(404, b"\xff", {})], lambda at: commands.backends(at=at), exit_code("garbled")),
+    ([(404, b"\xff", {})], lambda at: commands.LISTS["backends"](at=at), exit_code("garbled")),
     ([refusal("unknown_zone")], lambda at: commands.evacuate("nowhere", at=at), exit_code("unknown_zone")),
     ([refusal("no_majority")], lambda at: commands.restore("a", at=at), exit_code("no_majority")),
     ([refusal("bad_request")], lambda at: commands.log_level("loud", at=at), exit_code("bad_request")),
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -62,12 +62,7 @@
 def test_a_transaction_lost_at_rest_is_rolled_back_once_then_malformed():
     stage = Stage()
     lead, *_others = stage.warm()
-    stage.client(1, "books")
-    stage.say(1, "QUERY 1 BEGIN")
-    stage.say(1, "QUERY 2 PUT a b")
-    stage.answer(lead, "DONE -", "READY T 1.11")
-    stage.answer(lead, "DONE 7.1", "READY T 1.11")
-    stage.take(1)
+    stage.begun(lead)
     stage.lose(lead)
     stage.say(1, "QUERY 3 PUT c d")
     assert stage.take(1)[0].startswith("ERR ROLLEDBACK")
@@ -217,12 +212,7 @@
 def test_a_session_that_leaves_midway_rolls_its_wire_back():
     stage = Stage()
     lead, *_others = stage.warm()
-    stage.client(1, "books")
-    stage.say(1, "QUERY 1 BEGIN")
-    stage.say(1, "QUERY 2 PUT a b")
-    stage.answer(lead, "DONE -", "READY T 1.11")
-    stage.answer(lead, "DONE 7.1", "READY T 1.11")
-    stage.take(lead.key)
+    stage.begun(lead)
     stage.floor.session_closed(1, stage.now)
     stage.act()
     assert stage.take(lead.key) == ["QUERY - ABORT"]
@@ -232,12 +222,7 @@
 def test_a_resting_transaction_is_ended_and_its_wire_freed():
     stage = Stage()
     lead, *_others = stage.warm()
-    stage.client(1, "books")
-    stage.say(1, "QUERY 1 BEGIN")
-    stage.say(1, "QUERY 2 PUT a b")
-    stage.answer(lead, "DONE -", "READY T 1.11")
-    stage.answer(lead, "DONE 7.1", "READY T 1.11")
-    stage.take(lead.key)
+    stage.begun(lead)
     stage.tick(3.1)
     assert stage.take(lead.key) == ["QUERY - ABORT"]
 
