--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -309,7 +309,7 @@
         for backend in backends:
             if backend.name in full:
                 continue
-            if self.lanes and not errand.lane and yard.last_wire(backend):
+            if self.lanes and not errand.lane and yard.last_wire(backend, now):
                 continue
             wire = yard.take_wire(backend, errand.session.values, errand.statement.prepared)
             if wire is None:
--- a/sumacloom/counter/losses.py
+++ b/sumacloom/counter/losses.py
@@ -17,7 +17,9 @@
     was_idle = wire.open and wire.owner is None and not wire.expected
     drop(floor, wire)
     backend = floor.yard.backends.get(wire.backend)
-    if backend and report and not was_idle:
+    if backend and report and wire.login_sent and not wire.open and any(other.open for other in backend.wires.values()):
+        floor.yard.note_crowd(backend, now)     # it took the connection and ended it, while others stand
+    elif backend and report and not was_idle:
         floor.yard.note_mishap(backend, now)
         floor.mishaps.append(wire.backend)
     owner = wire.owner
--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -66,7 +66,9 @@
     if result.code:
         scribe.say("the backend %s refused a wire: %s", wire.backend, result.code)
         drop(floor, wire)
-        if backend:
+        if backend and result.code == "MAXCONN":
+            floor.yard.note_crowd(backend, now)
+        elif backend:
             backend.barred_until = now + BARRED_S
         return
     wire.open = True
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -12,6 +12,7 @@
 UNLISTED_S = 2.3
 LOGIN_CUTOFF_S = 5.0
 WARM_EVERY_S = 0.5
+SCARCE_S = 1.0
 HELD_SHARE = 0.45      # of its aim: how long a statement is held for a backend to come
 MOST_HELD = 0.9        # and of its time-out
 LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
@@ -149,7 +150,7 @@
 
 
 def warm(floor, now: float) -> None:
-    """Keeps one wire to every backend that this counter may need.
+    """Keeps one wire to every backend that this counter may need; where connections are scarce, none unused.
 
     >>> warm.__name__
     'warm'
@@ -159,8 +160,11 @@
     wanted = {route.svc for route in floor.blueprint.routes}
     for backend in floor.yard.backends.values():
         closed = backend.phase != "up" or backend.zone in floor.yard.evacuated
-        if backend.service in wanted and not backend.wires and not closed:
+        scarce = floor.yard.share(backend) < 1
+        if backend.service in wanted and not backend.wires and not closed and not scarce:
             floor.dial(backend, now)
+        for wire in [wire for wire in backend.idle if scarce and now - wire.idle_since >= SCARCE_S]:
+            moves.drop(floor, wire)
 
 
 def sweep(floor, now: float) -> None:
--- a/sumacloom/counter/wire.py
+++ b/sumacloom/counter/wire.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "key", "backend", "service", "splitter", "expected", "rows", "size", "line", "state", "position",
         "values", "names", "dirty", "owner", "open", "lost", "opened_at", "idle_since", "asked_at",
+        "login_sent",
     )
 
     def __init__(self, key: int, backend: str, service: str, now: float):
@@ -56,7 +57,7 @@
         self.state, self.position = "I", None
         self.values, self.names, self.dirty = {}, {}, False
         self.owner = None
-        self.open = self.lost = False
+        self.open = self.lost = self.login_sent = False
         self.opened_at = self.idle_since = self.asked_at = now
 
     def login(self, who: str) -> bytes:
@@ -66,6 +67,7 @@
         b'LOGIN svc me i-1\\r\\n'
         """
         self.expected.append(("login", self.opened_at))
+        self.login_sent = True
         return encode(f"LOGIN {self.service} {who} {self.backend}")
 
     def ask(self, tag: str, statement_id: str, text: str, now: float) -> bytes:
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -14,6 +14,8 @@
 REFUSED_S = 0.25
 SHARE_OF_MAXCONN = 0.7
 MOST_WIRES = 32
+FREE_WIRES = 4         # more than a fair share, as long as the backend does not mind
+CROWD_S = 5.0
 SHARE_OF_BOUND = 0.6
 UNKNOWN_MEMBERS = 8
 MEMBERS_S = 10.0
@@ -25,7 +27,7 @@
     __slots__ = (
         "name", "service", "host", "port", "zone", "region", "phase", "role", "slots", "order", "cold_until",
         "wires", "idle", "dialing", "backoff", "barred_until", "refused_at", "claimed_at", "closing_at",
-        "tokens", "tokens_at", "dark_since",
+        "tokens", "tokens_at", "dark_since", "crowded_until",
     )
 
     def __init__(self, name: str, service: str):
@@ -40,6 +42,7 @@
         self.role, self.phase = "replica", "up"
         self.cold_until = 0.0
         self.dark_since = None
+        self.crowded_until = -1e9
 
 
 class Ground:
@@ -235,23 +238,41 @@
         ranked.sort()
         return [entry[-1] for entry in ranked]
 
-    def cap(self, backend: Backend) -> int:
-        """How many wires this counter may hold to the backend.
+    def share(self, backend: Backend) -> float:
+        """This counter's fair share of the backend's connections; below 1 in a fleet larger than those.
 
-        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.members = 1; yard.cap(Backend("i-1", "svc"))
-        22
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.members = 2; round(yard.share(Backend("i-1", "svc")), 1)
+        11.2
         """
         service = self.services.get(backend.service)
-        most = service.maxconn if service else 32
-        return max(1, min(MOST_WIRES, int(most * SHARE_OF_MAXCONN / max(1, self.members))))
+        return (service.maxconn if service else 32) * SHARE_OF_MAXCONN / max(1, self.members)
+
+    def cap(self, backend: Backend, now: float) -> int:
+        """How many wires this counter may hold to the backend: its fair share, or a few more until told of a crowd.
+
+        >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.members = 1; yard.cap(Backend("i-1", "svc"), 0.0)
+        22
+        """
+        fair = max(1, min(MOST_WIRES, int(self.share(backend))))
+        return fair if now < backend.crowded_until else max(fair, FREE_WIRES)
+
+    def note_crowd(self, backend: Backend, now: float) -> None:
+        """The backend has more connections than it takes: everyone keeps to the fair share for a while.
+
+        >>> backend = Backend("i-1", "s"); Yard(Settings("n", "r", "10.0.0.1", "z")).note_crowd(backend, 1.0)
+        >>> backend.crowded_until
+        6.0
+        """
+        backend.crowded_until = now + CROWD_S
+        backend.barred_until = max(backend.barred_until, now + BACKOFF_S)
 
-    def last_wire(self, backend: Backend) -> bool:
+    def last_wire(self, backend: Backend, now: float) -> bool:
         """Whether the one idle wire is all that is left under the cap: it is kept for the priority lane.
 
-        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).last_wire(Backend("i-1", "svc"))
+        >>> Yard(Settings("n", "r", "10.0.0.1", "z")).last_wire(Backend("i-1", "svc"), 0.0)
         False
         """
-        return len(backend.idle) == 1 and 1 < self.cap(backend) <= len(backend.wires)
+        return len(backend.idle) == 1 and 1 < self.cap(backend, now) <= len(backend.wires)
 
     def take_wire(self, backend: Backend, values: dict, prepared) -> Wire | None:
         """An idle wire, one that fits the session before one that needs a RESET.
@@ -278,7 +299,7 @@
         >>> yard.new_wire(backend, 0.0).backend
         'i-1'
         """
-        if now < backend.barred_until or len(backend.wires) >= self.cap(backend) or self.closed_to_new(backend, now):
+        if now < backend.barred_until or len(backend.wires) >= self.cap(backend, now) or self.closed_to_new(backend, now):
             return None
         wire = Wire(self.next_key, backend.name, backend.service, now)
         self.next_key += 1
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -57,6 +57,8 @@
                 await sock.sendall(encode("QUIT"))
     except ConnectionRefusedError:
         return "REFUSED"
+    except ConnectionResetError:
+        return "RESET"           # it took the connection before it ended it: crowded, not dead
     except (OSError, curio.TaskTimeout, IndexError):
         return None
     if lines[-1].startswith("ERR"):
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -81,12 +81,40 @@
 def test_caps_assume_a_fleet_until_members_are_counted():
     stage = Stage()
     backend = stage.floor.yard.backends["p"]
-    assert stage.floor.yard.cap(backend) == 3
-    stage.floor.yard.count_members(2, 0.0)
-    assert stage.floor.yard.cap(backend) == 14
-    stage.floor.yard.count_members(4, 1.0)
-    stage.floor.yard.count_members(2, 2.0)                     # wires of the two outlive them for a while
-    assert stage.floor.yard.cap(backend) == 7
+    yard, now = stage.floor.yard, stage.now
+    yard.note_crowd(backend, now)
+    assert yard.cap(backend, now) == 3
+    yard.count_members(2, 0.0)
+    assert yard.cap(backend, now) == 14
+    yard.count_members(4, 1.0)
+    yard.count_members(2, 2.0)                                 # wires of the two outlive them for a while
+    assert yard.cap(backend, now) == 7
+    yard.members = 100                                         # a fleet larger than the backend's connections
+    assert yard.cap(backend, now) == 1 and yard.cap(backend, now + 6) == 4 and yard.share(backend) < 1
+
+
+def test_a_crowded_backend_is_not_taken_for_a_dark_one():
+    stage = Stage()
+    lead, *_others = stage.warm()
+    backend = stage.floor.yard.backends["p"]
+    stage.floor.dial(backend, stage.now)
+    stage.act()
+    stage.lose(next(wire for wire in stage.wires("p") if wire is not lead))
+    assert backend.dark_since is None and not stage.floor.mishaps and backend.crowded_until > stage.now
+    stage.lose(lead)
+    stage.now += 1.0
+    stage.floor.dial(backend, stage.now)
+    stage.act()
+    stage.lose(stage.wires("p")[0])
+    assert backend.dark_since is not None and stage.floor.mishaps
+
+
+def test_where_connections_are_scarce_no_idle_wire_is_kept():
+    stage = Stage()
+    stage.warm()
+    stage.floor.yard.count_members(100, stage.now)
+    stage.tick(1.1)
+    assert not stage.floor.wires
 
 
 def test_an_extra_wire_refused_does_not_bar_the_wires_that_stand():
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -398,8 +398,9 @@
 
 
 def test_the_priority_lane_goes_first_and_keeps_the_last_wire():
-    stage = Stage(svcs=[{"name": "svc", "maxconn": 23}])       # a cap of two wires for eight members
+    stage = Stage(svcs=[{"name": "svc", "maxconn": 23}])       # a fair share of two wires for eight members
     lead, *_others = stage.warm()
+    stage.floor.yard.backends["p"].crowded_until = stage.now + 9
     stage.floor.take_lanes(["copies"], True, True, stage.now)
     stage.client(1, "books")
     stage.client(2, "books")
