--- a/sumacloom/__main__.py
+++ b/sumacloom/__main__.py
@@ -34,7 +34,11 @@
     except OSError as error:
         print(f"sumacloom {role}: the data folder can't be used: {error} (code 1004)", file=sys.stderr)
         return exit_code("disk_unusable")
-    return curio.run(shell.main)
+    try:
+        return curio.run(shell.main)
+    except OSError as error:
+        print(f"sumacloom {role}: an address of the settings can't be served: {error} (code 1005)", file=sys.stderr)
+        return exit_code("address_unusable")
 
 
 def main(arguments: list[str]) -> int:
--- a/sumacloom/common/results.py
+++ b/sumacloom/common/results.py
@@ -30,6 +30,7 @@
     "settings_missing": (1001, 0, 2, "the settings file can't be read"),
     "settings_invalid": (1002, 0, 2, "the settings file is invalid"),
     "deploy_invalid": (1003, 0, 2, "this role can't run on this machine"),
+    "address_unusable": (1005, 0, 3, "an address of the settings can't be served"),
     "disk_unusable": (1004, 0, 3, "the data folder can't be used"),
     "unreadable": (1101, 400, 4, "the body can't be read as a blueprint"),
     "unknown_service": (1102, 400, 4, "a route names an unknown service"),
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -364,7 +364,13 @@
                 raise SystemExit(1)
 
 
+def interrupt(_number, _frame):
+    """SIGTERM ends the fleet as Ctrl-C does, its programs with it."""
+    raise KeyboardInterrupt
+
+
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         curio.run(main, "--trial" in sys.argv)
     except KeyboardInterrupt:
