--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -175,7 +175,7 @@
             return
         transaction = session.transaction
         if transaction and transaction.failed and statement.sort not in ("commit", "abort"):
-            code = moves.tell_failure(transaction)
+            code = moves.tell_mishap(transaction)
             self.reply(session, [f"ERR {code} the transaction has ended"], now)
             return
         SORTS[statement.sort](self, session, statement, now)
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -12,7 +12,7 @@
 QUIET_S = 1.1
 BEHIND_S = 0.5
 SETTLE_S = 4.0
-LEASE_S = 2.0          # shorter than the registrars' SESSION_S: a counter doubts before it is given up
+CLAIM_S = 2.0          # shorter than the registrars' SESSION_S: a counter doubts before it is given up
 
 
 class Member:
@@ -39,12 +39,12 @@
 
     @property
     def sure(self) -> bool:
-        """Whether what we hold is what the fleet holds: a settled registrar spoke to us within the lease.
+        """Whether what we hold is what the fleet holds: a settled registrar spoke to us within the claim.
 
         >>> Member.sure.fget.__name__
         'sure'
         """
-        return self.sure_at is not None and self.clock() - self.sure_at < LEASE_S
+        return self.sure_at is not None and self.clock() - self.sure_at < CLAIM_S
 
     def hello(self) -> Hello:
         """How this counter names itself.
--- a/sumacloom/counter/moves.py
+++ b/sumacloom/counter/moves.py
@@ -76,12 +76,12 @@
         release(floor, wire, now, touched=True)
 
 
-def tell_failure(transaction) -> str:
+def tell_mishap(transaction) -> str:
     """The code for a statement in a transaction that has ended: the promise first, then MALFORMED.
 
     >>> from sumacloom.counter.session import Transaction
     >>> transaction = Transaction(None, "begin", 0.0); transaction.failed = "ROLLEDBACK"
-    >>> tell_failure(transaction), tell_failure(transaction)
+    >>> tell_mishap(transaction), tell_mishap(transaction)
     ('ROLLEDBACK', 'MALFORMED')
     """
     code, transaction.failed = transaction.failed, "told"
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -240,7 +240,7 @@
                         moves.release(floor, transaction.wire, now, touched=True)
                     transaction.wire = None
                     transaction.failed = transaction.failed or "ROLLEDBACK"
-        elif action == "answer_all":
+        elif action == "end_asked":
             for errand in list(floor.active):
                 losses.errand_ended(floor, errand, now)
         elif action == "exit":
--- a/sumacloom/fleet/client.py
+++ b/sumacloom/fleet/client.py
@@ -16,10 +16,10 @@
 MOST_REPLY = 16 << 20
 
 
-class Answered(NamedTuple):
+class Outcome(NamedTuple):
     """A clear reply.
 
-    >>> Answered(200, b"{}", "10.0.0.1:80").status
+    >>> Outcome(200, b"{}", "10.0.0.1:80").status
     200
     """
 
@@ -53,7 +53,7 @@
     return Ok(addresses)
 
 
-def call_one(address: str, method: str, path: str, body: bytes, headers: dict, hops: int = 0) -> Answered | None:
+def call_one(address: str, method: str, path: str, body: bytes, headers: dict, hops: int = 0) -> Outcome | None:
     """One call, following 307 twice at most; None if there is no clear reply.
 
     >>> call_one("127.0.0.1:1", "GET", "/", b"", {}) is None
@@ -71,7 +71,7 @@
             if split_address(place) is None:
                 return None
             return call_one(place, method, "/" + rest, body, headers, hops + 1)
-        return Answered(reply.status, data, address)
+        return Outcome(reply.status, data, address)
     except (OSError, http.client.HTTPException):
         return None
     finally:
@@ -83,7 +83,7 @@
     """Calls one registrar after the other until one answers clearly, in bounded time.
 
     An unclear end (silence, a 5xx, 408, 429) is sent again unchanged, to the next one, with growing
-    pauses; the registers make that safe. Gives Ok(Answered), or Err with the registrar's own sentence.
+    pauses; the registers make that safe. Gives Ok(Outcome), or Err with the registrar's own sentence.
 
     >>> call(["127.0.0.1:1"], "GET", "/", patience_s=0.0).err().name
     'unreachable'
@@ -91,12 +91,12 @@
     started, pause, number = clock(), 0.1, 0
     last = mishap("unreachable", f"no registrar could be reached at {', '.join(addresses)}")
     while True:
-        answered = call_one(addresses[number % len(addresses)], method, path, body, headers or {})
+        outcome = call_one(addresses[number % len(addresses)], method, path, body, headers or {})
         number += 1
-        if answered and answered.status < 500 and answered.status not in AGAIN:
-            return Ok(answered) if answered.status < 300 else Err(read_mishap(answered))
-        if answered:
-            last = read_mishap(answered)
+        if outcome and outcome.status < 500 and outcome.status not in AGAIN:
+            return Ok(outcome) if outcome.status < 300 else Err(read_mishap(outcome))
+        if outcome:
+            last = read_mishap(outcome)
         if number >= len(addresses) and clock() - started >= patience_s:
             return Err(last)
         if number % len(addresses) == 0:
@@ -104,30 +104,30 @@
             pause = min(2.0, pause * 2)
 
 
-def read_mishap(answered: Answered):
+def read_mishap(outcome: Outcome):
     """The numbered mishap in a reply; `garbled` if there is none.
 
-    >>> read_mishap(Answered(404, b"<html>", "10.0.0.1:80")).name
+    >>> read_mishap(Outcome(404, b"<html>", "10.0.0.1:80")).name
     'garbled'
     """
     try:
-        data = json.loads(answered.body)
+        data = json.loads(outcome.body)
         name = data["error"]
         return mishap(name if name in TABLE else "garbled", str(data["sentence"]))
     except (ValueError, KeyError, TypeError):
-        return mishap("garbled", f"{answered.address} answered {answered.status} with something that is not ours")
+        return mishap("garbled", f"{outcome.address} answered {outcome.status} with something that is not ours")
 
 
-def read_json(answered: Answered, kind: type) -> Result:
+def read_json(outcome: Outcome, kind: type) -> Result:
     """The JSON of a reply, of the kind expected.
 
-    >>> read_json(Answered(200, b"[]", "10.0.0.1:80"), list).ok()
+    >>> read_json(Outcome(200, b"[]", "10.0.0.1:80"), list).ok()
     []
     """
     try:
-        data = json.loads(answered.body)
+        data = json.loads(outcome.body)
     except ValueError:
         data = None
     if not isinstance(data, kind):
-        return Err(mishap("garbled", f"{answered.address} answered with something that is not ours"))
+        return Err(mishap("garbled", f"{outcome.address} answered with something that is not ours"))
     return Ok(data)
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -33,7 +33,7 @@
     """
     return client.find_registrars(at).and_then(
         lambda addresses: client.call(addresses, method, path, body, headers)
-    ).and_then(lambda answered: client.read_json(answered, kind))
+    ).and_then(lambda outcome: client.read_json(outcome, kind))
 
 
 def print_rows(as_json: bool):
@@ -182,7 +182,7 @@
     """
     addresses = client.find_registrars(at)
     return finish(addresses.and_then(lambda found: client.call(found, "GET", "/api/config")),
-                  lambda answered: print(answered.body.decode("utf-8", "replace")))
+                  lambda outcome: print(outcome.body.decode("utf-8", "replace")))
 
 
 def read_file(path: str) -> Result:
@@ -244,7 +244,7 @@
         current = client.call(addresses.ok(), "GET", "/api/config")
         if current.is_err() and current.err().name != "no_route":
             return current
-        read = current.and_then(lambda answered: client.read_json(answered, dict))
+        read = current.and_then(lambda outcome: client.read_json(outcome, dict))
         if current.is_ok() and read.is_err():
             return read
         base = int(read.ok().get("ver", 0)) if read.is_ok() else 0
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -155,11 +155,11 @@
     if not isinstance(message, Inquire):
         return False
 
-    async def answer():
+    async def tell_part():
         part = Part(message.number, await own_part(shell))
         shell.office.outbox.append((peer, part))      # only now: the outbox is another list after each wait
         await shell.act()
-    shell.errands.append(answer)
+    shell.errands.append(tell_part)
     return True
 
 
--- a/sumacloom/registrar/caretaker.py
+++ b/sumacloom/registrar/caretaker.py
@@ -97,9 +97,9 @@
         if leads and doubtful:
             shell.doubts.discard(service)
         scribe.say("%s for %s ended, %s leads", name, service, leads or "nobody new")
-        shell.failures[service] = 0 if leads else shell.failures.get(service, 0) + 1
+        shell.misses[service] = 0 if leads else shell.misses.get(service, 0) + 1
         if not leads:
-            await curio.sleep(min(1.0, 0.1 * 2 ** shell.failures[service]))
+            await curio.sleep(min(1.0, 0.1 * 2 ** shell.misses[service]))
         started = shell.now()
         while leads and shell.now() - started < LEAD_S:
             record = shell.office.board.records.get(leads)
--- a/sumacloom/registrar/ctl.py
+++ b/sumacloom/registrar/ctl.py
@@ -65,11 +65,11 @@
 
 
 @serves("PUT", r"/api/config")
-async def put_config(shell, request: Request) -> Reply:
+async def take_blueprint(shell, request: Request) -> Reply:
     """The operator's blueprint: checked here, decided at a majority.
 
-    >>> put_config.__name__
-    'put_config'
+    >>> take_blueprint.__name__
+    'take_blueprint'
     """
     if len(request.body) > shell.most_blueprint:
         return mishap_reply(mishap("too_large"))
@@ -87,11 +87,11 @@
 
 
 @serves("GET", r"/api/config")
-async def get_config(shell, request: Request) -> Reply:
+async def give_blueprint(shell, request: Request) -> Reply:
     """The newest blueprint, whole, as a majority holds it.
 
-    >>> get_config.__name__
-    'get_config'
+    >>> give_blueprint.__name__
+    'give_blueprint'
     """
     result = await shell.decide("blueprint", keep, reading=True)
     if result.is_err():
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -165,13 +165,13 @@
     outcomes = dict.fromkeys(commands)
 
     tasks = {command: await curio.spawn(RUNNERS[type(command)], shell, command) for command in commands}
-    answered_at = None
+    first_at = None
     while any(not task.terminated for task in tasks.values()):
-        if answered_at is None and any(
+        if first_at is None and any(
                 task.terminated and isinstance(task.result, Row) for task in tasks.values()):
-            answered_at = shell.now()
+            first_at = shell.now()
         patient = any(not task.terminated for command, task in tasks.items() if isinstance(command, Ask) and command.patient)
-        if not patient and answered_at is not None and shell.now() - answered_at >= OTHERS_S:
+        if not patient and first_at is not None and shell.now() - first_at >= OTHERS_S:
             break
         await curio.sleep(0.01)
     for command, task in tasks.items():
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -32,7 +32,7 @@
         self.in_links: dict[str, Link] = {}        # peer ip: link it dialled; used until ours stands
         self.counters: dict[str, Link] = {}        # node: its link
         self.waiting: list[tuple] = []             # (proposal, event)
-        self.plans, self.probing, self.failures = {}, set(), {}
+        self.plans, self.probing, self.misses = {}, set(), {}
         self.doubts: set[str] = set()              # services for which a promotion may yet land
         self.duty_known = None                     # the holding of the duty that the doubts belong to
         self.parts: dict[int, dict] = {}           # inquiry: peer ip: its tables
