Undo of a routing edit: restored as a higher generation, watched until every node holds it; bodies travel packed

The blueprint's register keeps the last few bodies (48 KiB packed, at least one). An undo is one change of that register, so it is ordered against edits and other undos. Single statements that wait are drawn again by the new rules; transactions end by those they began with. limits.guarded makes counters without a settled registrar take no work.

--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -53,6 +53,7 @@
         self.rules = compile_rules(blueprint)
         self.yard.services = {service.name: service for service in blueprint.svcs}
         scribe.say("the blueprint %d is in force", blueprint.ver)
+        moves.draw_again(self, now)
 
     def take_records(self, records: list, now: float) -> None:
         """Takes backends' records from the news.
@@ -240,6 +241,9 @@
             self.reply(session, ["ERR NODB the database is no longer there"], now)
             return
         errand = Errand(session, statement, rule, plan or rule.plans[statement.sort], now, transaction)
+        if self.unsure and self.blueprint.limits.guarded and not (transaction and transaction.wire):
+            moves.refuse(self, errand, now)
+            return
         errand.lane = session.database in self.lanes
         session.errand = errand
         self.active.add(errand)
--- a/sumacloom/counter/moves.py
+++ b/sumacloom/counter/moves.py
@@ -98,3 +98,23 @@
         fail_transaction(floor, errand, "BUSY", now)
     else:
         finish(floor, errand, ["ERR BUSY not run; come back in 200 ms"], now)
+
+
+def draw_again(floor, now: float) -> None:
+    """Another blueprint: single statements not yet sent go by its rules; a transaction ends by those it began with.
+
+    >>> draw_again.__name__
+    'draw_again'
+    """
+    waiting = [errand for waitlist in floor.waitlists.values() for errand in waitlist]
+    for errand in waiting:
+        rule = floor.rules.get(errand.session.database)
+        if errand.transaction or errand.stage != "waiting" or rule == errand.rule:
+            continue
+        floor.waitlists[errand.rule.service].remove(errand)
+        if rule is None:
+            finish(floor, errand, ["ERR NODB the database is no longer there"], now)
+            continue
+        errand.rule, errand.plan_name = rule, rule.plans[errand.statement.sort]
+        errand.cutoff = errand.hold_until = errand.received + rule.statement_s
+        floor.enlist(errand, now)
--- a/sumacloom/counter/report.py
+++ b/sumacloom/counter/report.py
@@ -1,4 +1,5 @@
 """A counter's own state, for the admin API."""
+from ..courier.board import body_digest
 
 
 def report_of(floor, member, now: float) -> dict:
@@ -11,7 +12,8 @@
     digest = member.board.digest()
     counter = {
         "node": settings.node, "zone": settings.zone, "ready": floor.ready, "leaving": floor.leaving,
-        "blueprint": digest.blueprint, "evacuations": digest.evacuations,
+        "blueprint": floor.blueprint.ver if floor.blueprint else 0, "body": body_digest(member.board.packed),
+        "evacuations": digest.evacuations,
         "lanes": ",".join(sorted(floor.lanes)), "lanes_held": digest.lanes, "parent": member.parent_address or "registrar",
         "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
         "wires": len(floor.wires),
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -209,7 +209,8 @@
             if self.member.settled:
                 self.floor.yard.count_members(self.member.members, self.now())
             lanes = self.member.board.lanes
-            self.floor.take_lanes(lanes.databases, self.member.sure, bool(lanes.order), self.now())
+            guarded = bool(self.floor.blueprint and self.floor.blueprint.limits.guarded)
+            self.floor.take_lanes(lanes.databases, self.member.sure, bool(lanes.order) or guarded, self.now())
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
                 outlet = self.outlets.get(key)
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -1,8 +1,19 @@
 """The news a daemon holds and passes on; none of it ever moves back within a process life."""
-from ..common.blueprint import Blueprint, decode_blueprint
+import zlib
+
+from ..common.blueprint import Blueprint, decode_blueprint, unpack_blueprint
 from .messages import Digest, LaneNews, News, Record, digest_records
 
 
+def body_digest(packed: bytes) -> str:
+    """A short digest of a blueprint's own bytes, by which nodes are compared.
+
+    >>> body_digest(b"{}")
+    'a3f6b4cc'
+    """
+    return f"{zlib.crc32(unpack_blueprint(packed)):08x}" if packed else ""
+
+
 class Board:
     """Blueprint, evacuations and backend records, with their generations.
 
@@ -14,7 +25,7 @@
 
     def __init__(self):
         self.blueprint: Blueprint | None = None
-        self.raw = b""
+        self.packed = b""
         self.evacuations = 0
         self.zones: list[str] = []
         self.records: dict[str, Record] = {}
@@ -40,7 +51,7 @@
         if news.blueprint is not None:
             blueprint = decode_blueprint(news.blueprint)
             if self.blueprint is None or blueprint.ver > self.blueprint.ver:
-                self.blueprint, self.raw, changed = blueprint, news.blueprint, True
+                self.blueprint, self.packed, changed = blueprint, news.blueprint, True
         if news.zones is not None and news.evacuations > self.evacuations:
             self.evacuations, self.zones, changed = news.evacuations, news.zones, True
         if news.lanes is not None and news.lanes.order > self.lanes.order:
@@ -80,7 +91,7 @@
         if held == mine:
             return None
         news = News(
-            self.raw if mine.blueprint > held.blueprint else None,
+            self.packed if mine.blueprint > held.blueprint else None,
             mine.evacuations,
             self.zones if mine.evacuations > held.evacuations else None,
             list(self.records.values()) if mine.records != held.records else None,
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -117,6 +117,7 @@
     "rotation": table_command("rotation", "Lists each counter's rotation: which replicas may serve its reads."),
     "duties": table_command("duties", "Tells who holds the failover duty, and its fence."),
     "zones": table_command("zones", "Lists the zones, and which are evacuated."),
+    "generations": table_command("generations", "Lists each node, the blueprint it holds, and why if it is behind."),
     "lanes": table_command("lanes", "Lists the databases in the priority lane, and the counters an offer still waits for."),
 }
 
@@ -165,7 +166,7 @@
 
 
 def query(text: str, *, at: str = "", json: bool = False) -> int:
-    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes.
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations.
 
     :param text: the query, in one argument
     :param at: registrars to ask, IP:PORT,IP:PORT
@@ -291,7 +292,50 @@
     return finish(ask(at, "PUT", "/api/admin/log-level", dict, body), lambda reply: print(f"the log level is {reply['level']}"))
 
 
+def undo(*, generation: int = 0, at: str = "", wait: float = 15.0, without: list[str] = []) -> int:
+    """Undoes an edit of the blueprint: the one before is restored everywhere; waits until every node holds it.
+
+    :param generation: the generation that is to be undone; else the one in force
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param wait: how many seconds to wait for every node
+    :param without: nodes that are known to be gone for good, and not waited for
+    """
+    if not generation:
+        current = ask(at, "GET", "/api/config", dict)
+        if current.is_err():
+            return finish(current)
+        generation = int(current.ok().get("ver", 0))
+    undone = ask(at, "POST", "/api/admin/undo", dict, json.dumps({"generation": generation}).encode())
+    return finish(undone.and_then(lambda order: watch_undo(order, at, wait, set(without))), print)
+
+
+def watch_undo(order: dict, at: str, wait: float, without: set) -> Result:
+    """Waits until every node holds the restored generation, or a later one, and all hold the same bytes.
+
+    >>> watch_undo({}, "nowhere", 0.0, set()).err().name
+    'usage'
+    """
+    cutoff, wanted = time.monotonic() + wait, order.get("generation", 0)
+    while True:
+        rows = ask(at, "GET", "/api/admin/generations", list)
+        if rows.is_err():
+            return rows
+        nodes = [row for row in rows.ok() if row.get("node") not in without]
+        behind = [f"{row.get('node')} ({row.get('why') or 'at ' + str(row.get('generation'))})" for row in nodes
+                  if row.get("generation", 0) < wanted]
+        held = {(row.get("generation"), row.get("body")) for row in nodes}
+        if nodes and not behind and len(held) == 1:
+            newer = next(iter(held))[0]
+            later = f"; {newer} is in force since" if newer != wanted else ""
+            return Ok(f"the blueprint {order.get('undone')} is undone: {wanted} restores {order.get('restores')} "
+                      f"at all {len(nodes)} nodes{later}")
+        if time.monotonic() >= cutoff:
+            return Err(mishap("undo_waiting", f"the blueprint {wanted} restores {order.get('restores')}, "
+                              f"but is not yet at {', '.join(behind) or 'all nodes alike'}"))
+        time.sleep(0.2)
+
+
 COMMANDS = {
     "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
-    "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put},
+    "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put}, "undo": undo,
 }
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -11,7 +11,7 @@
 from ..common.results import mishap
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
-from . import duties, lanes, voters
+from . import duties, lanes, undo, voters
 from .ctl import serves
 from .values import KEYS, decode
 
@@ -20,7 +20,7 @@
 COUNTERS_S = 0.25
 STEP_S = 0.02
 TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones",
-          "lanes")
+          "lanes", "generations")
 
 
 async def own_part(shell) -> dict:
@@ -57,6 +57,7 @@
             for name, (zone, address, heard, _lanes) in sorted(office.members.sessions.items())
         ],
         "counters": [report["counter"] for report in reports],
+        "generations": undo.own_rows(office, node, reports, list(office.members.sessions), now),
         "rotation": [row for report in reports for row in report["rotation"]],
     }
 
@@ -137,6 +138,7 @@
     unheard = [peer for peer in shell.office.others() if peer not in parts]
     tables["registrars"] += [{"node": "", "zone": "", "ip": peer, "votes": False, "learned": False, "blueprint": 0,
                               "evacuations": 0, "hears": "unheard", "plans": ""} for peer in unheard]
+    tables["generations"] = undo.one_per_node(tables["generations"], unheard)
     return {**tables, **shared_part(shell)}
 
 
--- a/sumacloom/registrar/members.py
+++ b/sumacloom/registrar/members.py
@@ -5,6 +5,7 @@
 
 scribe = Scribe("roster")
 SESSION_S = 2.5          # a quiet session ends after this; longer than a counter's own lease
+REMEMBER_S = 120.0       # a counter gone without a word is named for so long where all must agree
 LEFT = -1
 
 
@@ -27,6 +28,7 @@
     def __init__(self):
         self.sessions: dict[str, Session] = {}
         self.departed: dict[str, float] = {}
+        self.remembered: dict[str, tuple] = {}     # counters ended here and nowhere back: node: (zone, since)
         self.peers: dict[str, tuple] = {}          # peer: (heard at, [(node, zone, address, lanes)])
 
     def hear(self, node: str, zone: str, address: str, now: float, lanes: int = 0) -> bool:
@@ -47,8 +49,10 @@
 
         >>> Members().end("edge-1", 0.0)
         """
-        if self.sessions.pop(node, None):
+        session = self.sessions.pop(node, None)
+        if session:
             self.departed[node] = now
+            self.remembered[node] = (session.zone, now)
             scribe.say("the counter %s is no longer a member here", node)
 
     def hear_peer(self, peer: str, sessions: list | None, now: float) -> None:
@@ -124,3 +128,7 @@
             self.end(node, now)
         for node in [node for node, left in self.departed.items() if now - left > SESSION_S]:
             del self.departed[node]
+        there = self.all(now)
+        for node in [node for node, (_zone, since) in self.remembered.items()
+                     if now - since > REMEMBER_S or there.get(node, ("", "", LEFT))[2] != LEFT]:
+            del self.remembered[node]
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -232,7 +232,7 @@
         self.write(self.acceptor.mend(key, ballot, value))
         if key == "blueprint":
             found = decode(BlueprintValue, value)
-            if self.board.take(News(found.raw, 0, None, None)):
+            if self.board.take(News(found.packed, 0, None, None)):
                 scribe.say("the blueprint %d is decided", found.ver)
         elif key == "evacuations":
             found = decode(EvacuationsValue, value)
--- a/sumacloom/registrar/values.py
+++ b/sumacloom/registrar/values.py
@@ -1,18 +1,55 @@
 """What the registers hold, and the changes that may be made to them."""
 import hashlib
+import json
 
 import msgspec
 
+from ..common.blueprint import pack_blueprint, unpack_blueprint
 from ..common.results import Err, Ok, mishap
 
 KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters")
 HISTORY = 64
+MOST_PAST, MOST_PAST_BYTES, MOST_UNDOS = 4, 48 << 10, 16
 
 
 class BlueprintValue(msgspec.Struct, array_like=True):
     ver: int
-    raw: bytes
+    packed: bytes
     history: list[tuple[int, str]]       # (ver, digest) of those taken, the newest last
+    past: list[tuple[int, bytes]] = []   # bodies before this one, packed, the newest first
+    undos: list[tuple[int, int, int]] = []     # (ver undone, ver whose body came back, its new ver)
+
+    @property
+    def raw(self) -> bytes:
+        """The operator's own bytes.
+
+        >>> BlueprintValue(3, b"{}", []).raw
+        b'{}'
+        """
+        return unpack_blueprint(self.packed)
+
+    @property
+    def restores(self) -> int:
+        """The generation whose body is in force under a new number; 0 if it is the operator's own.
+
+        >>> BlueprintValue(9, b"{}", [], [], [(8, 7, 9)]).restores
+        7
+        """
+        return next((old for _undone, old, ver in self.undos if ver == self.ver), 0)
+
+    def before(self) -> list[tuple[int, bytes]]:
+        """What the next value keeps to go back to: bounded in bytes, but always the one before.
+
+        >>> BlueprintValue(3, b"x", [], [(2, b"y")]).before()
+        [(3, b'x'), (2, b'y')]
+        """
+        kept, size = [], 0
+        for ver, packed in [(self.ver, self.packed), *self.past][:MOST_PAST]:
+            size += len(packed)
+            if kept and size > MOST_PAST_BYTES:
+                break
+            kept.append((ver, packed))
+        return kept if self.ver else []
 
 
 class EvacuationsValue(msgspec.Struct, array_like=True):
@@ -52,7 +89,7 @@
     >>> put_blueprint(3, b"{}", 2)(None).err().name
     'stale_match'
     """
-    digest = hashlib.sha256(raw).hexdigest()[:32]
+    digest, packed = digest_of(raw), pack_blueprint(raw)
 
     def change(current_bytes):
         current = decode(BlueprintValue, current_bytes) or BlueprintValue(0, b"", [])
@@ -62,10 +99,44 @@
             return Err(mishap("stale_match", f"the current generation is {current.ver}, not {base}"))
         if ver <= current.ver:
             return Err(mishap("old_generation", f"ver {ver} is not above the current {current.ver}"))
-        return Ok(encode(BlueprintValue(ver, raw, [*current.history, (ver, digest)][-HISTORY:])))
+        history = [*current.history, (ver, digest)][-HISTORY:]
+        return Ok(encode(BlueprintValue(ver, packed, history, current.before(), current.undos)))
     return change
 
 
+def undo_blueprint(wrong: int):
+    """The change that brings back, under a new and higher number, the body before generation `wrong`.
+
+    >>> first = put_blueprint(3, b'{"ver": 3}', 0)(None).ok(); second = put_blueprint(7, b'{"ver": 7, "a": 1}', 3)(first).ok()
+    >>> back = decode(BlueprintValue, undo_blueprint(7)(second).ok()); back.ver, back.raw, back.restores
+    (8, b'{"ver":8}', 3)
+    """
+    def change(current_bytes):
+        current = decode(BlueprintValue, current_bytes) or BlueprintValue(0, b"", [])
+        if any(undone == wrong for undone, _old, _ver in current.undos):
+            return Ok(None)
+        if wrong != current.ver:
+            return Err(mishap("stale_match", f"the current generation is {current.ver}, not {wrong}"))
+        if not current.past:
+            return Err(mishap("nothing_to_undo", f"nothing is kept from before the generation {wrong}"))
+        old, packed = current.past[0]
+        ver = current.ver + 1
+        raw = json.dumps({**json.loads(unpack_blueprint(packed)), "ver": ver}, separators=(",", ":")).encode()
+        history = [*current.history, (ver, digest_of(raw))][-HISTORY:]
+        undos = [*current.undos, (wrong, old, ver)][-MOST_UNDOS:]
+        return Ok(encode(BlueprintValue(ver, pack_blueprint(raw), history, current.before(), undos)))
+    return change
+
+
+def digest_of(raw: bytes) -> str:
+    """What tells one body from another.
+
+    >>> len(digest_of(b"{}"))
+    32
+    """
+    return hashlib.sha256(raw).hexdigest()[:32]
+
+
 def evacuate(zone: str, wanted: bool):
     """The change that empties a zone, or takes it back.
 
