--- a/sumacloom/counter/errand.py
+++ b/sumacloom/counter/errand.py
@@ -12,7 +12,7 @@
 
     __slots__ = (
         "session", "statement", "rule", "plan_name", "received", "cutoff", "hold_until", "stage", "wire",
-        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed", "lane",
+        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed", "lane", "intent",
     )
 
     def __init__(self, session, statement, rule, plan_name: str, now: float, transaction):
@@ -31,6 +31,7 @@
         self.ran_at = 0.0
         self.needed = None
         self.lane = False
+        self.intent = None
 
     @property
     def plan(self) -> tuple:
--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -10,23 +10,23 @@
 from ..common.lines import encode
 from ..common.logs import Scribe
 from ..common.settings import Settings
-from ..common.types import ORIGIN
 from . import losses, moves, outcomes
 from .errand import Errand
 from .rules import compile_rules
 from .session import Session, decode, wire_text
+from .spooling import Spooling, holds_back, judge
 from .verbs import SORTS
 from .yard import Yard
 
 scribe = Scribe("floor")
 LEAVING = load_chart("leaving")
-ANCHOR_SLACK_S = 0.02
 
 class Floor:
     """All sessions and wires of one counter."""
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, life: int = 0):
         self.settings = settings
+        self.spooling = Spooling(settings.node, life)
         self.yard = Yard(settings)
         self.sessions, self.wires = {}, {}
         self.waitlists = {}
@@ -200,8 +200,11 @@
         session.closed = True
         session.waiting.clear()
         errand, transaction = session.errand, session.transaction
-        if errand and errand.stage in ("waiting", "paused"):
+        if errand and errand.stage in ("waiting", "paused", "spooling"):
+            unsent = errand.wire if errand.stage == "spooling" and not transaction else None
             self.end_errand(errand)
+            if unsent:
+                moves.release(self, unsent, now)
         if transaction and transaction.wire and not (errand and errand.stage in ("setup", "run")):
             moves.release(self, transaction.wire, now)
         session.transaction = None
@@ -269,6 +272,7 @@
         >>> Floor.end_errand.__name__
         'end_errand'
         """
+        judge(self, errand)
         errand.stage = "done"
         self.active.discard(errand)
         if errand.session.errand is errand:
@@ -300,7 +304,7 @@
         ground = yard.ground(errand.rule.service)
         if errand.plan[0] == "rotation":
             ground.read_at = now
-            errand.needed = self.needed(errand, ground, now)
+            errand.needed = outcomes.needed(self, errand, ground, now)
             if errand.needed is None:
                 return False
             backends = yard.draw_rotation(ground, errand.rule, errand.needed, now)
@@ -330,18 +334,6 @@
                 self.dial(backend, now)
         return False
 
-    def needed(self, errand: Errand, ground, now: float):
-        """The position a replica must hold for this read; None while an anchor is sought.
-
-        >>> Floor.needed.__name__
-        'needed'
-        """
-        anchor = ground.anchors.at_least(errand.received - max(0.0, errand.rule.stale_s - ANCHOR_SLACK_S))
-        if anchor is None:
-            outcomes.seek_anchor(self, ground, now)
-            return None
-        return max(anchor, errand.session.last_commit or ORIGIN)
-
     def dial(self, backend, now: float) -> None:
         """Opens one more wire to a backend, if it may have one.
 
@@ -389,6 +381,8 @@
         >>> Floor.run.__name__
         'run'
         """
+        if holds_back(self, errand, now):
+            return
         wire, statement = errand.wire, errand.statement
         errand.stage, errand.ran_at = "run", now
         text = wire_text(statement, wire.names)
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -5,7 +5,7 @@
 from ..common.settings import split_address
 from ..courier.board import Board
 from ..courier.links import Link, accept_all, dial, listen, tune
-from ..courier.messages import Digest, Follow, Hello, MemberBeat, News, Pending, RegistrarBeat
+from ..courier.messages import Digest, Follow, Held, Hello, MemberBeat, News, Noted, Pending, RegistrarBeat
 
 scribe = Scribe("member")
 BEAT_S = 0.35
@@ -19,9 +19,10 @@
 class Member:
     """Keeps one session standing, and the news fresh."""
 
-    def __init__(self, settings, clock, on_news, yard, mishaps, report):
+    def __init__(self, settings, clock, on_news, yard, mishaps, report, life=0, on_spool=None):
         self.settings, self.clock, self.on_news = settings, clock, on_news
         self.yard, self.mishaps, self.report = yard, mishaps, report
+        self.life, self.on_spool, self.leaving = life, on_spool, False
         self.shared_at = 0.0
         self.board = Board()
         self.low, self.high = settings.port_range[0], settings.port_range[0] + 1
@@ -55,7 +56,7 @@
         'hello'
         """
         settings = self.settings
-        return Hello(settings.node, "counter", settings.zone, f"{settings.ip}:{self.high}", settings.ip)
+        return Hello(settings.node, "counter", settings.zone, f"{settings.ip}:{self.high}", settings.ip, self.life)
 
     async def take_news(self, news: News) -> None:
         """Takes news, and passes on to the children what they lack.
@@ -92,7 +93,17 @@
             self.mishaps.clear()
             now = self.clock()
             sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
-            self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None))
+            self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None,
+                                         self.leaving))
+
+    def say(self, message) -> None:
+        """A message for the registrar; without a session it is dropped, and said again later.
+
+        >>> Member.say.__name__
+        'say'
+        """
+        if self.session:
+            self.session.send(message)
 
     # ------------------------------------------------------------ the session
     async def attach(self) -> None:
@@ -230,6 +241,8 @@
         """
         if isinstance(message, News):
             await self.take_news(message)
+        elif isinstance(message, (Held, Noted)):
+            await self.on_spool(message)
         elif isinstance(message, Pending):
             self.yard.ground(message.service).pending_until = self.clock() + message.seconds
         elif isinstance(message, RegistrarBeat):
--- a/sumacloom/counter/moves.py
+++ b/sumacloom/counter/moves.py
@@ -50,12 +50,24 @@
             backend.idle.remove(wire)
 
 
+def judge(floor, errand, lines: list[str]) -> None:
+    """The verdict on a write that is listened to, if it is one.
+
+    >>> judge.__name__
+    'judge'
+    """
+    if errand.intent:
+        from .spooling import judge as judge_intent       # only where somebody listens
+        judge_intent(floor, errand, lines)
+
+
 def finish(floor, errand, lines: list[str], now: float, position=None) -> None:
     """The client's reply; what it sent meanwhile follows.
 
     >>> finish.__name__
     'finish'
     """
+    judge(floor, errand, lines)
     floor.end_errand(errand)
     floor.reply(errand.session, lines, now, position)
     floor.advance(errand.session, now)
--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -4,14 +4,17 @@
 have reached its backend never does. Promises are made only where they are certainly true.
 """
 from ..common.logs import Scribe
+from ..common.types import ORIGIN
 from .errand import Errand
 from .losses import MOST_READ_SENDS, wire_lost
 from .moves import drop, fail_transaction, finish, release, settle
+from .spooling import item_text, judge
 
 scribe = Scribe("wires")
 NOT_RUN = frozenset({"BUSY", "NOSUCH", "LAGGING", "RO", "WRONGHOST", "MAXCONN"})
 BUSY_PAUSE_S = 0.03
 BARRED_S = 0.5
+ANCHOR_SLACK_S = 0.02
 
 RESULTS = {}
 
@@ -194,6 +197,7 @@
     if proves and backend:
         floor.yard.prove_lead(backend, result.asked_at, result.position, now)
     if errand.session.closed:
+        judge(floor, errand, [result.line])
         floor.end_errand(errand)
         release(floor, wire, now)
     elif errand.transaction:
@@ -240,6 +244,8 @@
         release(floor, wire, now, touched=bool(code) and transaction.touched)
     elif not code and result.state == "T":
         transaction.ran += 1
+        if errand.statement.sort == "write":
+            transaction.writes.append(item_text(errand.statement))
         wire.owner = transaction
         finish(floor, errand, lines, now, result.position)
     else:
@@ -277,6 +283,19 @@
         floor.yard.note_refusal(backend, now)
 
 
+def needed(floor, errand, ground, now: float):
+    """The position a replica must hold for this read; None while an anchor is sought.
+
+    >>> needed.__name__
+    'needed'
+    """
+    anchor = ground.anchors.at_least(errand.received - max(0.0, errand.rule.stale_s - ANCHOR_SLACK_S))
+    if anchor is None:
+        seek_anchor(floor, ground, now)
+        return None
+    return max(anchor, errand.session.last_commit or ORIGIN)
+
+
 def seek_anchor(floor, ground, now: float) -> None:
     """Asks the lead for a position when ordinary traffic gave none of late.
 
--- a/sumacloom/counter/report.py
+++ b/sumacloom/counter/report.py
@@ -1,5 +1,5 @@
 """A counter's own state, for the admin API."""
-from ..courier.board import body_digest
+from ..courier.board import body_digest, list_digest
 
 
 def report_of(floor, member, now: float) -> dict:
@@ -14,7 +14,9 @@
         "node": settings.node, "zone": settings.zone, "ready": floor.ready, "leaving": floor.leaving,
         "blueprint": floor.blueprint.ver if floor.blueprint else 0, "body": body_digest(member.board.packed),
         "evacuations": digest.evacuations,
-        "lanes": ",".join(sorted(floor.lanes)), "lanes_held": digest.lanes, "parent": member.parent_address or "registrar",
+        "lanes": ",".join(sorted(floor.lanes)), "lanes_held": digest.lanes, "listeners": digest.listeners,
+        "listeners_digest": list_digest(member.board.listeners), "unnoted": len(floor.spooling.unnoted),
+         "parent": member.parent_address or "registrar",
         "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
         "wires": len(floor.wires),
     }
--- a/sumacloom/counter/session.py
+++ b/sumacloom/counter/session.py
@@ -26,7 +26,7 @@
 class Transaction:
     """A client's transaction; its wire is drawn at the first statement, not at BEGIN."""
 
-    __slots__ = ("rule", "mode", "wire", "failed", "rested_at", "touched", "ran")
+    __slots__ = ("rule", "mode", "wire", "failed", "rested_at", "touched", "ran", "writes")
 
     def __init__(self, rule, mode: str, now: float):
         self.rule, self.mode = rule, mode
@@ -34,6 +34,7 @@
         self.failed = ""
         self.touched = False       # SET inside it: the wire's record is not to be trusted after an ABORT
         self.ran = 0               # statements that succeeded
+        self.writes = []           # those of them that write, as listeners get them
         self.rested_at = now
 
 
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -1,4 +1,5 @@
 """The counter's shell: sockets and clock around the floor."""
+import secrets
 import time
 
 import curio
@@ -8,8 +9,9 @@
 from ..common.signals import Signals
 from ..common.settings import FileWatch, Settings, read_settings, split_address
 from ..courier.board import Board
+from ..courier.messages import Held
 from ..courier.links import Outlet, accept_all, dial, kept, listen, tune
-from . import losses, outcomes, upkeep
+from . import losses, outcomes, spooling, upkeep
 from .floor import Floor
 from .member import Member
 from .report import report_of
@@ -25,7 +27,8 @@
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        self.floor = Floor(settings)
+        self.life = secrets.randbits(48)
+        self.floor = Floor(settings, self.life)
         self.outlets: dict = {}          # session or wire key: outlet
         self.blocked: set = set()
         self.next_session = 0
@@ -33,7 +36,8 @@
         self.over = False
         self.signals = Signals().listen()
         self.watch = FileWatch()
-        self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, self.report)
+        self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, self.report,
+                             self.life, self.hear_spool)
 
     @staticmethod
     def now() -> float:
@@ -58,6 +62,8 @@
                     self.send(*rest)
                 elif kind == "shut":
                     self.shut(*rest)
+                elif kind == "spool":
+                    self.member.say(*rest)
                 elif kind == "dial":
                     await curio.spawn(self.run_wire, *rest, daemon=True)
                 elif kind == "exit":
@@ -185,6 +191,18 @@
         self.floor.take_records(list(board.records.values()), now)
         await self.act()
 
+    async def hear_spool(self, message) -> None:
+        """A registrar holds an intent, or has noted a verdict.
+
+        >>> Shell.hear_spool.__name__
+        'hear_spool'
+        """
+        if isinstance(message, Held):
+            spooling.intent_held(self.floor, message, self.now())
+            await self.act()
+        elif message.life == self.life:
+            self.floor.spooling.note(message.database, message.number)
+
     def report(self) -> dict:
         """What this counter tells the admin API when asked.
 
@@ -211,6 +229,10 @@
             lanes = self.member.board.lanes
             guarded = bool(self.floor.blueprint and self.floor.blueprint.limits.guarded)
             self.floor.take_lanes(lanes.databases, self.member.sure, bool(lanes.order) or guarded, self.now())
+            listeners = self.member.board.listeners
+            self.floor.spooling.listen([database for _name, database, _state in listeners.rows],
+                                       bool(listeners.generation) and not self.member.sure)
+            self.member.leaving = self.floor.leaving != "serving"
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
                 outlet = self.outlets.get(key)
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -1,7 +1,8 @@
 """What a counter does by the clock: cutoffs, sweeps, warm wires, leaving in order."""
 from ..common.logs import Scribe
-from . import losses, moves
+from . import losses, moves, spooling
 from .floor import LEAVING, Floor
+from .upkeep_stages import AT, stage
 
 scribe = Scribe("upkeep")
 SETUP_CUTOFF_S = 0.25
@@ -18,21 +19,6 @@
 LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
 HELD_LONG = 0.2        # it is held for this share of its aim only
 
-AT = {}
-
-
-def stage(name: str):
-    """Registers what the clock does to errands at a stage.
-
-    >>> "run" in AT
-    True
-    """
-    def register(function):
-        AT[name] = function
-        return function
-    return register
-
-
 def tick(floor: Floor, now: float) -> None:
     """All that is due; the shell calls it some twenty times a second.
 
@@ -50,6 +36,7 @@
         check_wires(floor, now)
         warm(floor, now)
         sweep(floor, now)
+    spooling.tell_again(floor, now)
     if floor.leaving not in ("serving", "gone"):
         leave_step(floor, now)
 
--- /dev/null
+++ b/sumacloom/counter/upkeep_stages.py
@@ -0,0 +1,15 @@
+"""What the clock does to errands, stage by stage: the register of its handlers."""
+
+AT = {}
+
+
+def stage(name: str):
+    """Registers what the clock does to errands at a stage.
+
+    >>> stage("nothing")(len) is len
+    True
+    """
+    def register(function):
+        AT[name] = function
+        return function
+    return register
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -2,7 +2,7 @@
 import zlib
 
 from ..common.blueprint import Blueprint, decode_blueprint, unpack_blueprint
-from .messages import Digest, LaneNews, News, Record, digest_records
+from .messages import Digest, LaneNews, ListenNews, News, Record, digest_records
 
 
 def body_digest(packed: bytes) -> str:
@@ -14,13 +14,22 @@
     return f"{zlib.crc32(unpack_blueprint(packed)):08x}" if packed else ""
 
 
+def list_digest(listeners: ListenNews) -> str:
+    """A short digest of a subscriber list, by which nodes are compared.
+
+    >>> list_digest(ListenNews(1, [("desk", "books", "listening")]))
+    '6c8eeb3e'
+    """
+    return f"{zlib.crc32(repr(sorted(map(tuple, listeners.rows))).encode()):08x}"
+
+
 class Board:
     """Blueprint, evacuations and backend records, with their generations.
 
     >>> board = Board(); board.take(News(b'{"ver": 3}', 1, ["z"], []))
     True
     >>> board.digest()
-    Digest(blueprint=3, evacuations=1, records=0, lanes=0)
+    Digest(blueprint=3, evacuations=1, records=0, lanes=0, listeners=0)
     """
 
     def __init__(self):
@@ -31,15 +40,16 @@
         self.records: dict[str, Record] = {}
         self.known_digest = 0
         self.lanes = LaneNews(0, [], [])
+        self.listeners = ListenNews(0, [])
 
     def digest(self) -> Digest:
         """What this board holds.
 
         >>> Board().digest()
-        Digest(blueprint=0, evacuations=0, records=0, lanes=0)
+        Digest(blueprint=0, evacuations=0, records=0, lanes=0, listeners=0)
         """
         return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest,
-                      self.lanes.order)
+                      self.lanes.order, self.listeners.generation)
 
     def take(self, news: News) -> bool:
         """Takes what is newer; tells whether anything was.
@@ -56,6 +66,8 @@
             self.evacuations, self.zones, changed = news.evacuations, news.zones, True
         if news.lanes is not None and news.lanes.order > self.lanes.order:
             self.lanes, changed = news.lanes, True
+        if news.listeners is not None and news.listeners.generation > self.listeners.generation:
+            self.listeners, changed = news.listeners, True
         newer = [record for record in news.records or () if self.newer(record)]
         if newer:
             self.records.update((record.name, record) for record in newer)
@@ -96,5 +108,7 @@
             self.zones if mine.evacuations > held.evacuations else None,
             list(self.records.values()) if mine.records != held.records else None,
             self.lanes if mine.lanes > held.lanes else None,
+            self.listeners if mine.listeners > held.listeners else None,
         )
-        return news if news.blueprint or news.zones is not None or news.records or news.lanes else None
+        told = news.blueprint or news.zones is not None or news.records or news.lanes or news.listeners
+        return news if told else None
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..common.types import NO_BALLOT, Ballot
+from .panel import Panel
 
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
@@ -46,6 +47,7 @@
     evacuations: int = 0
     records: int = 0
     lanes: int = 0
+    listeners: int = 0
 
 
 class Sighting(msgspec.Struct, array_like=True, frozen=True):
@@ -71,6 +73,7 @@
     zone: str
     address: str                 # where this daemon takes links
     ip: str = ""
+    life: int = 0                # tells one life of a process from the next
 
 
 class MemberBeat(Message):
@@ -80,6 +83,7 @@
     mishaps: list[str] = []
     positions: list[Sighting] = []
     report: dict | None = None
+    leaving: bool = False        # it is being stopped: its end is no loss
 
 
 class RegistrarBeat(Message):
@@ -109,6 +113,13 @@
     offered: list[str]
 
 
+class ListenNews(msgspec.Struct, array_like=True, frozen=True):
+    """Who listens: the whole list, with its generation."""
+
+    generation: int
+    rows: list[tuple[str, str, str]]         # name, database, state
+
+
 class News(Message):
     """Only what the receiver lacks."""
 
@@ -117,54 +128,7 @@
     zones: list[str] | None
     records: list[Record] | None
     lanes: LaneNews | None = None
-
-
-class Panel(msgspec.Struct, array_like=True, frozen=True):
-    """Who votes. While `old` is not empty, every round needs a majority of the old and of the new set.
-
-    >>> Panel(2, ("a", "b", "c"), ("a", "b", "d")).carried({"a", "b"})
-    True
-    >>> Panel(2, ("a", "b", "c"), ("a", "b", "d")).carried({"a", "c"})
-    False
-    """
-
-    generation: int
-    old: tuple[str, ...]
-    new: tuple[str, ...]
-
-    @property
-    def members(self) -> list[str]:
-        """Everyone who has a vote.
-
-        >>> Panel(2, ("a", "b"), ("b", "c")).members
-        ['a', 'b', 'c']
-        """
-        return sorted({*self.old, *self.new})
-
-    @property
-    def sets(self) -> list[tuple]:
-        """The sets that each need a majority.
-
-        >>> Panel(1, (), ("a", "b")).sets
-        [('a', 'b')]
-        """
-        return [voters for voters in (self.old, self.new) if voters]
-
-    def carried(self, voices) -> bool:
-        """Whether these voices are a majority of each set.
-
-        >>> Panel(1, (), ("a", "b", "c")).carried(["a"])
-        False
-        """
-        return all(sum(voter in voices for voter in voters) > len(voters) // 2 for voters in self.sets)
-
-    def met(self, voices) -> bool:
-        """Whether these voices meet every majority that could have decided.
-
-        >>> Panel(1, (), ("a", "b", "c", "d")).met({"a", "b"}), Panel(1, (), ("a", "b", "c")).met({"a"})
-        (True, False)
-        """
-        return all(sum(voter in voices for voter in voters) >= len(voters) - len(voters) // 2 for voters in self.sets)
+    listeners: ListenNews | None = None
 
 
 class PeerBeat(Message):
@@ -174,7 +138,7 @@
     """
 
     decided: dict[str, Ballot] | None        # None: as last told
-    sessions: list[tuple[str, str, str, int]] | None   # node, zone, address, lanes; None: as last told
+    sessions: list[tuple[str, str, str, int, int, int]] | None   # see Members.told; None: as last told
     heard: dict[str, int]                    # backend: ms since its last beat; only those heard anew
     dark: dict[str, int]                     # backend: ms since probes first failed here
     hears: list[str]
@@ -286,6 +250,62 @@
     panel: Panel
 
 
+class Intent(Message):
+    """A counter is about to send a write on a database that is listened to."""
+
+    life: int
+    number: int                  # rises by one for each database and life
+    database: str
+    text: str
+    node: str
+
+
+class Held(Message):
+    """The intent is on disk: the write may go."""
+
+    life: int
+    number: int
+    database: str
+
+
+class Verdict(Message):
+    """What became of an intent: done, not, or doubtful. Sent again until it is noted."""
+
+    life: int
+    number: int
+    database: str
+    text: str
+    node: str
+    kind: str
+
+
+class Noted(Message):
+    """The verdict is on disk."""
+
+    life: int
+    number: int
+    database: str
+
+
+class Spare(Message):
+    """A registrar gives another a copy of an intent, or of its verdict, to hold."""
+
+    life: int
+    number: int
+    database: str
+    text: str
+    node: str
+    kind: str = ""
+
+
+class SpareHeld(Message):
+    """The copy is on disk."""
+
+    life: int
+    number: int
+    database: str
+
+
 class Tell(Message):
     """A voter without memory asks for everything; who tells also promises to refuse what is below the barrier."""
 
@@ -299,7 +319,8 @@
 
 
 KINDS = (Hello, MemberBeat, RegistrarBeat, Follow, News, PeerBeat, Prepare, Promise, Accept, Accepted, Refused,
-         Query, Copy, Decided, Fetch, Settled, Panelled, Tell, Told, Inquire, Part, Level, Pending)
+         Query, Copy, Decided, Fetch, Settled, Panelled, Tell, Told, Inquire, Part, Level, Pending, Intent, Held, Verdict, Noted, Spare,
+         SpareHeld)
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Union[KINDS])
 MOST_FRAME = 16 << 20
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -4,54 +4,11 @@
 import time
 import urllib.parse
 
-from ..common.results import Err, Ok, Result, exit_code, mishap
+from ..common.results import Err, Ok, Result, mishap
 from . import client
-from .tables import as_text, query as run_query
-
-
-def finish(result: Result, show=None) -> int:
-    """Prints a result for people, or one sentence with its number; gives the exit code.
-
-    >>> finish(Ok("done"), print)
-    done
-    0
-    """
-    if result.is_err():
-        found = result.err()
-        print(f"sumacloom fleet: {found.sentence} (code {found.code})", file=sys.stderr)
-        return exit_code(found.name)
-    if show:
-        show(result.ok())
-    return 0
-
-
-def ask(at: str, method: str, path: str, kind: type, body: bytes = b"", headers: dict | None = None) -> Result:
-    """A call to any registrar, its reply read as JSON.
-
-    >>> ask("nowhere", "GET", "/", dict).err().name
-    'usage'
-    """
-    return client.find_registrars(at).and_then(
-        lambda addresses: client.call(addresses, method, path, body, headers)
-    ).and_then(lambda outcome: client.read_json(outcome, kind))
-
-
-def print_rows(as_json: bool):
-    """How rows are shown.
-
-    >>> print_rows(True)([{"a": 1}])
-    [{"a": 1}]
-    """
-    return lambda rows: print(json.dumps(rows) if as_json else as_text(rows))
-
-
-def table(name: str, at: str, as_json: bool) -> int:
-    """Prints one table of the admin API.
-
-    >>> table("members", "nowhere", False)
-    2
-    """
-    return finish(ask(at, "GET", f"/api/admin/{name}", list), print_rows(as_json))
+from .calls import ask, finish, print_rows, table
+from .orders import listen, listeners, undo, unlisten
+from .tables import query as run_query
 
 
 def status(*, at: str = "", json: bool = False) -> int:
@@ -166,7 +123,7 @@
 
 
 def query(text: str, *, at: str = "", json: bool = False) -> int:
-    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations.
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations, listeners, listening.
 
     :param text: the query, in one argument
     :param at: registrars to ask, IP:PORT,IP:PORT
@@ -292,50 +249,8 @@
     return finish(ask(at, "PUT", "/api/admin/log-level", dict, body), lambda reply: print(f"the log level is {reply['level']}"))
 
 
-def undo(*, generation: int = 0, at: str = "", wait: float = 15.0, without: list[str] = []) -> int:
-    """Undoes an edit of the blueprint: the one before is restored everywhere; waits until every node holds it.
-
-    :param generation: the generation that is to be undone; else the one in force
-    :param at: registrars to ask, IP:PORT,IP:PORT
-    :param wait: how many seconds to wait for every node
-    :param without: nodes that are known to be gone for good, and not waited for
-    """
-    if not generation:
-        current = ask(at, "GET", "/api/config", dict)
-        if current.is_err():
-            return finish(current)
-        generation = int(current.ok().get("ver", 0))
-    undone = ask(at, "POST", "/api/admin/undo", dict, json.dumps({"generation": generation}).encode())
-    return finish(undone.and_then(lambda order: watch_undo(order, at, wait, set(without))), print)
-
-
-def watch_undo(order: dict, at: str, wait: float, without: set) -> Result:
-    """Waits until every node holds the restored generation, or a later one, and all hold the same bytes.
-
-    >>> watch_undo({}, "nowhere", 0.0, set()).err().name
-    'usage'
-    """
-    cutoff, wanted = time.monotonic() + wait, order.get("generation", 0)
-    while True:
-        rows = ask(at, "GET", "/api/admin/generations", list)
-        if rows.is_err():
-            return rows
-        nodes = [row for row in rows.ok() if row.get("node") not in without]
-        behind = [f"{row.get('node')} ({row.get('why') or 'at ' + str(row.get('generation'))})" for row in nodes
-                  if row.get("generation", 0) < wanted]
-        held = {(row.get("generation"), row.get("body")) for row in nodes}
-        if nodes and not behind and len(held) == 1:
-            newer = next(iter(held))[0]
-            later = f"; {newer} is in force since" if newer != wanted else ""
-            return Ok(f"the blueprint {order.get('undone')} is undone: {wanted} restores {order.get('restores')} "
-                      f"at all {len(nodes)} nodes{later}")
-        if time.monotonic() >= cutoff:
-            return Err(mishap("undo_waiting", f"the blueprint {wanted} restores {order.get('restores')}, "
-                              f"but is not yet at {', '.join(behind) or 'all nodes alike'}"))
-        time.sleep(0.2)
-
-
 COMMANDS = {
     "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
     "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put}, "undo": undo,
+    "listen": listen, "unlisten": unlisten, "listeners": listeners,
 }
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -11,16 +11,16 @@
 from ..common.results import mishap
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
-from . import duties, lanes, undo, voters
+from . import duties, lanes, listening, undo, voters
 from .ctl import serves
-from .values import KEYS, decode
+from .values import decode
 
 scribe = Scribe("admin")
 GATHER_S = 0.6
 COUNTERS_S = 0.25
 STEP_S = 0.02
 TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones",
-          "lanes", "generations")
+          "lanes", "generations", "listeners", "listening")
 
 
 async def own_part(shell) -> dict:
@@ -51,12 +51,13 @@
             "node": node, "key": key,
             "decided": str(tuple(office.decided.get(key, (NO_BALLOT,))[0][:2])),
             "accepted": str(tuple(office.acceptor.slots[key].accepted[:2])) if key in office.acceptor.slots else "-",
-        } for key in KEYS],
+        } for key in office.keys()],
         "members": [
             {"node": name, "zone": zone, "address": address, "registrar": node, "heard_ms": round((now - heard) * 1000)}
-            for name, (zone, address, heard, _lanes) in sorted(office.members.sessions.items())
+            for name, (zone, address, heard, *_held) in sorted(office.members.sessions.items())
         ],
         "counters": [report["counter"] for report in reports],
+        "listening": listening.node_rows(office, node, reports),
         "generations": undo.own_rows(office, node, reports, list(office.members.sessions), now),
         "rotation": [row for report in reports for row in report["rotation"]],
     }
@@ -92,6 +93,7 @@
             "vacant": duties.vacant(office, now),
         }],
         "lanes": lane_rows(office, now),
+        "listeners": listening.list_rows(office, now),
         "zones": [
             {"zone": zone, "region": region, "evacuated": zone in office.board.zones}
             for zone, region in sorted(shell.settings.zones.items())
@@ -138,7 +140,8 @@
     unheard = [peer for peer in shell.office.others() if peer not in parts]
     tables["registrars"] += [{"node": "", "zone": "", "ip": peer, "votes": False, "learned": False, "blueprint": 0,
                               "evacuations": 0, "hears": "unheard", "plans": ""} for peer in unheard]
-    tables["generations"] = undo.one_per_node(tables["generations"], unheard)
+    for name in ("generations", "listening"):
+        tables[name] = undo.one_per_node(tables[name], unheard)
     return {**tables, **shared_part(shell)}
 
 
--- a/sumacloom/registrar/desk.py
+++ b/sumacloom/registrar/desk.py
@@ -15,6 +15,16 @@
 from .register import Acceptor, Slot
 
 scribe = Scribe("office")
+SPOOL_KINDS = {"spooled": 8, "spent": 4}     # and how long such a record is
+
+
+def encode(record: tuple) -> bytes:
+    """A record as the ledger keeps it.
+
+    >>> encode(("spent", 7, "books", 1))[:7]
+    b'\\x94\\xa5spen'
+    """
+    return msgspec.msgpack.encode(record)
 
 
 class ForeignLedger(Exception):
@@ -49,6 +59,7 @@
     def __init__(self, ledger, prompt: bool = True):
         self.ledger, self.prompt = ledger, prompt
         self.batches: list[Batch] = []
+        self.spooled: list[tuple] = []       # the spool's records, as the ledger had them
 
     def write(self, payloads: list) -> None:
         """Puts records on their way to the disk.
@@ -62,6 +73,14 @@
         else:
             self.batches.append(batch)
 
+    def write_records(self, records: list[tuple]) -> None:
+        """Puts records of the spool on their way to the disk.
+
+        >>> Desk.write_records.__name__
+        'write_records'
+        """
+        self.write([encode(record) for record in records])
+
     def hold(self, peer: str, message) -> bool:
         """Keeps a message back until all that was written before it is synced; False if nothing is unsynced.
 
@@ -146,17 +165,23 @@
     return msgspec.convert(found, Panel)
 
 
-def open_acceptor(payloads: list[bytes]):
+def open_acceptor(payloads: list[bytes], spooled: list | None = None):
     """The acceptor as the ledger left it, unlearned where there is no meta record; Err for foreign records.
 
+    The records of the spool go to `spooled`.
+
     >>> open_acceptor([]).ok().learned, open_acceptor([b"nonsense"]).err().name
     (False, 'ledger_foreign')
     """
     acceptor = Acceptor(Panel(0, (), ()), 0, learned=False)
     for payload in payloads:
         try:
-            take_record(acceptor, *msgspec.msgpack.decode(payload))
-        except (msgspec.MsgspecError, TypeError, ValueError, KeyError) as error:
+            found = msgspec.msgpack.decode(payload)
+            if found[0] in SPOOL_KINDS and len(found) == SPOOL_KINDS[found[0]]:
+                spooled is None or spooled.append(tuple(found))
+            else:
+                take_record(acceptor, *found)
+        except (msgspec.MsgspecError, TypeError, ValueError, LookupError) as error:
             return Err(mishap("ledger_foreign", f"the ledger holds a record that is not ours: {error}"))
     return Ok(acceptor)
 
--- a/sumacloom/registrar/members.py
+++ b/sumacloom/registrar/members.py
@@ -6,7 +6,7 @@
 scribe = Scribe("roster")
 SESSION_S = 2.5          # a quiet session ends after this; longer than a counter's own lease
 REMEMBER_S = 120.0       # a counter gone without a word is named for so long where all must agree
-LEFT = -1
+LEFT, LOST = -1, -2      # in place of what a counter holds of the lanes
 
 
 class Session(NamedTuple):
@@ -19,7 +19,9 @@
     zone: str
     address: str
     heard_at: float
-    lanes: int = 0           # what it holds of the lanes, as its digest says
+    lanes: int = 0           # what it holds of the lanes and of the listeners, as its digest says
+    listeners: int = 0
+    life: int = 0
 
 
 class Members:
@@ -31,28 +33,30 @@
         self.remembered: dict[str, tuple] = {}     # counters ended here and nowhere back: node: (zone, since)
         self.peers: dict[str, tuple] = {}          # peer: (heard at, [(node, zone, address, lanes)])
 
-    def hear(self, node: str, zone: str, address: str, now: float, lanes: int = 0) -> bool:
+    def hear(self, node: str, zone: str, address: str, now: float, lanes: int = 0, listeners: int = 0,
+             life: int = 0) -> bool:
         """A counter's heartbeat; tells whether its session is new.
 
         >>> Members().hear("edge-1", "z", "10.0.0.1:7441", 0.0)
         True
         """
         fresh = node not in self.sessions
-        self.sessions[node] = Session(zone, address, now, lanes)
+        self.sessions[node] = Session(zone, address, now, lanes, listeners, life)
         self.departed.pop(node, None)
         if fresh:
             scribe.say("the counter %s is a member", node)
         return fresh
 
-    def end(self, node: str, now: float) -> None:
-        """A counter's session is over.
+    def end(self, node: str, now: float, in_order: bool = False) -> None:
+        """A counter's session is over; one that ended in order is not looked for.
 
         >>> Members().end("edge-1", 0.0)
         """
         session = self.sessions.pop(node, None)
         if session:
             self.departed[node] = now
-            self.remembered[node] = (session.zone, now)
+            if not in_order:
+                self.remembered[node] = (session.zone, now)
             scribe.say("the counter %s is no longer a member here", node)
 
     def hear_peer(self, peer: str, sessions: list | None, now: float) -> None:
@@ -65,13 +69,28 @@
         self.peers[peer] = (now, sessions)
 
     def told(self) -> list[tuple]:
-        """For the peers: our sessions, and those that have just left.
+        """For the peers: (node, zone, address, lanes, listeners, life) of our sessions, and of those that have left.
 
         >>> Members().told()
         []
         """
-        left = [(node, "", "", LEFT) for node in self.departed if node not in self.sessions]
-        return [(node, one.zone, one.address, one.lanes) for node, one in self.sessions.items()] + left
+        left = [(node, "", "", LEFT, 0, 0) for node in self.departed if node not in self.sessions]
+        lost = [(node, "", "", LOST, 0, 0) for node in self.remembered if node not in {*self.sessions, *self.departed}]
+        return [(node, one.zone, one.address, one.lanes, one.listeners, one.life)
+                for node, one in self.sessions.items()] + left + lost
+
+    def rows(self, now: float) -> dict[str, tuple]:
+        """What is told of each counter anywhere; what a standing session says goes first.
+
+        >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0, 4, 2, 9); members.rows(1.0)
+        {'edge-1': ('z', 'a', 4, 2, 9)}
+        """
+        told = [row for heard, rows in self.peers.values() if now - heard < SESSION_S for row in rows]
+        found = {}
+        for node, *row in [*told, *self.told()]:
+            if node not in found or row[2] > found[node][2]:
+                found[node] = tuple(row)
+        return found
 
     def all(self, now: float) -> dict[str, tuple[str, str, int]]:
         """Every counter known anywhere: node to (zone, address, lanes); lanes is LEFT for one just gone.
@@ -79,12 +98,23 @@
         >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0, 4); members.all(1.0)
         {'edge-1': ('z', 'a', 4)}
         """
-        told = [row for heard, rows in self.peers.values() if now - heard < SESSION_S for row in rows]
-        found = {}
-        for node, zone, address, lanes in [*told, *self.told()]:
-            if node not in found or lanes > found[node][2]:
-                found[node] = (zone, address, lanes)
-        return found
+        return {node: row[:3] for node, row in self.rows(now).items() if row[2] != LOST}
+
+    def unaware(self, generation: int, now: float) -> list[str]:
+        """The counters not known to hold a generation of the listeners, those lost without a word among them.
+
+        >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0); members.unaware(1, 0.0)
+        ['edge-1']
+        """
+        return sorted(node for node, row in self.rows(now).items() if row[3] < generation)
+
+    def lives(self, now: float) -> dict[str, int]:
+        """The life of each counter in session anywhere.
+
+        >>> Members().lives(0.0)
+        {}
+        """
+        return {node: row[4] for node, row in self.rows(now).items() if row[2] >= 0}
 
     def count(self, now: float) -> int:
         """How many counters are members.
@@ -128,7 +158,7 @@
             self.end(node, now)
         for node in [node for node, left in self.departed.items() if now - left > SESSION_S]:
             del self.departed[node]
-        there = self.all(now)
+        there = self.all(now) if self.remembered else {}
         for node in [node for node, (_zone, since) in self.remembered.items()
-                     if now - since > REMEMBER_S or there.get(node, ("", "", LEFT))[2] != LEFT]:
+                     if now - since > REMEMBER_S or there.get(node, ("", "", LEFT))[2] >= 0]:
             del self.remembered[node]
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -8,14 +8,15 @@
 from ..common.settings import Settings, split_address
 from ..common.types import NO_BALLOT, Ballot
 from ..courier.board import Board
-from ..courier.messages import Decided, News, Panel, PeerBeat, Prepare, Tell
-from . import desk, duties, lanes, voters
+from ..courier.messages import Decided, Panel, PeerBeat, Prepare, Tell
+from . import desk, duties, lanes, listeners, taking, voters
 from .desk import Desk
 from .hearing import HEARERS, KNOWN_S
 from .register import Ballots, Proposal
 from .members import Members
 from .roster import Roster
-from .values import KEYS, BlueprintValue, DutyValue, EvacuationsValue, decode, keep
+from .spool import Spool, mind_spool
+from .values import KEYS, DutyValue, keep
 
 scribe = Scribe("office")
 ALIVE_S = 1.1
@@ -53,6 +54,7 @@
         self.told_state = None
         self.told_suspects: set[str] = set()
         self.acceptor = self.open_acceptor()
+        self.spool = Spool(self, self.desk.spooled, now)
         self.started_at = now
 
     # ------------------------------------------------------------ disk
@@ -63,7 +65,7 @@
         'open_acceptor'
         """
         ledger = self.desk.ledger
-        opened = desk.open_acceptor(ledger.payloads)
+        opened = desk.open_acceptor(ledger.payloads, self.desk.spooled)
         if opened.is_err():
             raise desk.ForeignLedger(opened.err())
         acceptor = opened.ok()
@@ -103,6 +105,14 @@
         """
         self.desk.write(desk.whole(self.acceptor))
 
+    def whole(self) -> list[bytes]:
+        """Everything, as a capture holds it.
+
+        >>> Office.whole.__name__
+        'whole'
+        """
+        return [*map(desk.encode, self.spool.records()), *desk.whole(self.acceptor)]
+
     def capture_if_full(self) -> None:
         """Writes a capture when the segment is full and the disk is ours alone.
 
@@ -110,7 +120,7 @@
         'capture_if_full'
         """
         if self.desk.prompt and self.desk.ledger.full:
-            self.desk.ledger.capture(desk.whole(self.acceptor))
+            self.desk.ledger.capture(self.whole())
 
     def release(self, peer: str, message) -> None:
         """Sends a vote's reply, once all that was written before it is on disk.
@@ -230,28 +240,7 @@
         self.decided[key] = (ballot, value)
         self.ballots.saw(ballot)
         self.write(self.acceptor.mend(key, ballot, value))
-        if key == "blueprint":
-            found = decode(BlueprintValue, value)
-            if self.board.take(News(found.packed, 0, None, None)):
-                scribe.say("the blueprint %d is decided", found.ver)
-        elif key == "evacuations":
-            found = decode(EvacuationsValue, value)
-            if self.board.take(News(None, found.generation, found.zones, None)):
-                scribe.say("the evacuated zones are now: %s", ", ".join(found.zones) or "none")
-        elif key == duties.DUTY:
-            found = decode(DutyValue, value)
-            if self.duty is None or found.fence >= self.duty.fence:
-                if found != self.duty:
-                    scribe.say("the failover duty is with %s, fence %d", found.holder or "nobody", found.fence)
-                self.duty = found
-        elif key == voters.KEY:
-            self.take_panel(decode(Panel, value), now)
-        elif key == lanes.KEY:
-            found = decode(lanes.LanesValue, value)
-            self.lanes_at = now
-            if self.board.take(News(None, 0, None, None, found.news())):
-                stage = "in force" if found.in_force else "offered"
-                scribe.say("the lanes %d are %s: %s", found.generation, stage, ", ".join(found.databases) or "none")
+        taking.take(self, key, value, now)
         return True
 
     def take_panel(self, panel: Panel, now: float) -> None:
@@ -368,6 +357,8 @@
         if self.votes and "failover" in self.settings.cloud.jobs:
             duties.mind_duty(self, now)
             lanes.mind_lanes(self, now)
+            listeners.mind_listeners(self, now)
+        mind_spool(self, now)
 
     def settled(self, now: float) -> bool:
         """Whether we hear a majority, and lack nothing that is decided as far as it tells.
@@ -379,10 +370,18 @@
             return False
         living = [peer for peer in self.acceptor.panel.members if self.alive(peer, now)]
         told = [self.peers[peer][1].decided or {} for peer in living if peer != self.me]
-        mine = {key: self.decided.get(key, (NO_BALLOT,))[0] for key in KEYS}
-        return all(self.acceptor.slot(key).accepted <= mine[key] for key in KEYS) and not any(
+        mine = {key: self.decided.get(key, (NO_BALLOT,))[0] for key in self.keys()}
+        return all(self.acceptor.slot(key).accepted <= mine[key] for key in mine) and not any(
             Ballot(*ballot) > mine[key] for decided in told for key, ballot in decided.items() if key in mine)
 
+    def keys(self) -> list[str]:
+        """The keys of all registers that are in use.
+
+        >>> Office.keys.__name__
+        'keys'
+        """
+        return [*KEYS, *listeners.keys(self)]
+
     def finish_undecided(self, now: float) -> None:
         """The sweep: settles values that are accepted here but not known to be decided.
 
@@ -390,7 +389,7 @@
         'finish_undecided'
         """
         busy = {proposal.key for proposal in self.proposals}
-        for key in KEYS:
+        for key in self.keys():
             accepted = self.acceptor.slot(key).accepted
             if key not in busy and accepted > self.decided.get(key, (NO_BALLOT,))[0]:
                 self.propose(key, keep, now, reading=True)
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -9,11 +9,11 @@
 from ..common.signals import Signals
 from ..common.settings import FileWatch, Settings, read_settings, split_address
 from ..courier.links import Link, accept_all, dial, kept, listen, tune
-from ..courier.messages import Follow, Hello, MemberBeat, Pending, RegistrarBeat
+from ..courier.messages import Follow, Hello, Intent, MemberBeat, Pending, RegistrarBeat, Verdict
 from ..ledger.log import Ledger
 from . import admin, ctl, voters
 from .caretaker import mind_backends
-from .desk import whole
+from .spool import take_intent, take_verdict
 from .office import Office
 
 scribe = Scribe("registrar")
@@ -79,7 +79,7 @@
         office = self.office
         outbox, office.outbox = office.outbox, []
         for peer, message in outbox:
-            link = self.out_links.get(peer) or self.in_links.get(peer)
+            link = self.out_links.get(peer) or self.in_links.get(peer) or self.counters.get(peer)
             if link:
                 link.send(message)
         still = []
@@ -103,13 +103,13 @@
         >>> Shell.sync_disk.__name__
         'sync_disk'
         """
-        desk, acceptor = self.office.desk, self.office.acceptor
+        desk = self.office.desk
         while desk.batches:
             batches = desk.take()
             try:
                 await curio.run_in_thread(desk.sync, batches)
                 if desk.ledger.full:
-                    await curio.run_in_thread(desk.ledger.capture, whole(acceptor))
+                    await curio.run_in_thread(desk.ledger.capture, self.office.whole())
             except OSError as error:
                 if not self.disk_ill:
                     scribe.warn("the disk refuses writes, no votes until it takes them: %s", error)
@@ -190,7 +190,7 @@
         """
         tune(sock._socket)
         link = Link(sock)
-        link.parent, link.shared_at = "", 0.0
+        link.parent, link.shared_at, link.leaving = "", 0.0, False
         link.report, link.reported_at = None, -1e9
         try:
             async for message in link.messages():
@@ -213,7 +213,7 @@
                 del self.in_links[link.peer.ip]
             if link.peer and self.counters.get(link.peer.node) is link:
                 del self.counters[link.peer.node]
-                self.office.members.end(link.peer.node, self.now())
+                self.office.members.end(link.peer.node, self.now(), link.leaving)
             await link.close()
 
     def hear_counter(self, link: Link, message, now: float) -> None:
@@ -229,9 +229,15 @@
             if news:
                 link.send(news)
             return
+        if isinstance(message, Intent):
+            take_intent(office, node, message, now)
+        elif isinstance(message, Verdict):
+            take_verdict(office, node, message, now)
         if not isinstance(message, MemberBeat):
             return
-        office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes)
+        link.leaving = message.leaving
+        office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes,
+                            message.digest.listeners, link.peer.life)
         self.counters[node] = link
         link.digest = message.digest
         if message.report:
--- /dev/null
+++ b/sumacloom/registrar/spool.py
@@ -0,0 +1,226 @@
+"""Intents and verdicts of counters, on disk until their feed holds them.
+
+A counter may send a write on a listened database only once its intent is held here. The copy at another
+registrar, the `spare`, takes over if this one is lost. The feed makes a second append of one item a no-op,
+so whoever holds an entry may append it: spares later, and what has no verdict only when its counter is gone.
+"""
+import zlib
+
+from ..common.logs import Scribe
+from ..courier.messages import Held, Intent, Noted, Spare, SpareHeld, Verdict
+from . import listeners
+from .feed import append
+from .hearing import hears
+
+scribe = Scribe("spool")
+SPARE_S = 0.2            # how long the spare's copy is waited for
+SPARE_TURN_S = 2.0       # how much later a spare appends
+GONE_S = 5.0             # a counter unheard by everyone for so long sends no verdict any more
+APPEND_EVERY_S = 0.1
+MOST_BATCH = 200
+
+
+class Entry:
+    """One intent: who has it, what became of it, and who waits for word."""
+
+    __slots__ = ("node", "text", "kind", "spare", "since", "unheard", "client", "lacks", "place")
+
+    def __init__(self, node: str, text: str, kind: str, spare: bool, now: float):
+        self.node, self.text, self.kind, self.spare, self.since = node, text, kind, spare, now
+        self.unheard = None          # since when the counter is unheard by everyone
+        self.client, self.lacks, self.place = "", set(), ""
+
+
+class Spool:
+    """The entries of one registrar by (life, database, number)."""
+
+    def __init__(self, office, records: list, now: float):
+        self.office, self.entries, self.appended_at = office, {}, {}
+        for kind, *rest in records:
+            key, rest = tuple(rest[:3]), rest[3:]
+            if kind == "spooled":
+                self.entries[key] = Entry(*rest, now)
+            else:
+                self.entries.pop(key, None)
+
+    def records(self) -> list[tuple]:
+        """All entries, for a capture.
+
+        >>> Spool(None, [("spooled", 7, "books", 1, "edge-1", "PUT a b", "", False)], 0.0).records()
+        [('spooled', 7, 'books', 1, 'edge-1', 'PUT a b', '', False)]
+        """
+        return [record(key, entry) for key, entry in self.entries.items()]
+
+    def write(self, key: tuple, entry: Entry) -> None:
+        """Puts an entry on its way to the disk.
+
+        >>> Spool.write.__name__
+        'write'
+        """
+        self.office.desk.write_records([record(key, entry)])
+
+    def drop(self, keys: list[tuple]) -> None:
+        """Forgets entries that need no more.
+
+        >>> Spool(None, [], 0.0).drop([])
+        """
+        gone = [key for key in keys if self.entries.pop(key, None)]
+        if gone:
+            self.office.desk.write_records([("spent", *key) for key in gone])
+
+    def sweep(self, database: str, feed) -> None:
+        """The feed was decided anew: what it has seen is spent.
+
+        >>> Spool(None, [], 0.0).sweep("books", None)
+        """
+        self.drop([key for key in self.entries if key[1] == database and feed.has(key[0], key[2])])
+
+
+def record(key: tuple, entry: Entry) -> tuple:
+    """An entry as the ledger keeps it.
+
+    >>> record((7, "books", 1), Entry("edge-1", "PUT a b", "done", True, 0.0))
+    ('spooled', 7, 'books', 1, 'edge-1', 'PUT a b', 'done', True)
+    """
+    return ("spooled", *key, entry.node, entry.text, entry.kind, entry.spare)
+
+
+def place_of(message) -> tuple:
+    """The key of what a message is about.
+
+    >>> place_of(Held(7, 1, "books"))
+    (7, 'books', 1)
+    """
+    return (message.life, message.database, message.number)
+
+
+def take_intent(office, client: str, message: Intent, now: float) -> None:
+    """A counter's intent: onto the disk here and at another registrar; then the counter hears of it.
+
+    >>> take_intent.__name__
+    'take_intent'
+    """
+    spool, key = office.spool, place_of(message)
+    entry = spool.entries.get(key)
+    if entry is None:
+        entry = spool.entries[key] = Entry(message.node, message.text, "", False, now)
+        spool.write(key, entry)
+    entry.client, entry.lacks, entry.since = client, {"disk"}, now
+    peers = [peer for peer in office.others() if office.alive(peer, now) and office.me in office.peers[peer][1].hears]
+    if peers:
+        entry.place = peers[zlib.crc32(office.me.encode()) % len(peers)] if entry.place not in peers else entry.place
+        entry.lacks.add("spare")
+        office.outbox.append((entry.place, Spare(*key[::2], message.database, message.text, message.node)))
+    office.release(office.me, Held(*key[::2], message.database))
+
+
+def take_verdict(office, client: str, message: Verdict, now: float) -> None:
+    """What became of an intent, here or at a registrar that is gone.
+
+    >>> take_verdict.__name__
+    'take_verdict'
+    """
+    spool, key = office.spool, place_of(message)
+    seen = listeners.feed_of(office, message.database).has(message.life, message.number)
+    if not seen:
+        entry = spool.entries.get(key)
+        if entry is None:
+            entry = spool.entries[key] = Entry(message.node, message.text, message.kind, False, now)
+        entry.kind, entry.spare, entry.since = message.kind, False, now
+        spool.write(key, entry)
+        if entry.place:
+            office.outbox.append((entry.place, Spare(*key[::2], message.database, message.text, message.node, message.kind)))
+    office.release(client, Noted(message.life, message.number, message.database))
+
+
+@hears(Held)
+def disk_holds(office, _peer: str, message, now: float) -> None:
+    """Our own disk holds an intent.
+
+    >>> disk_holds.__name__
+    'disk_holds'
+    """
+    step_on(office, place_of(message), "disk")
+
+
+@hears(SpareHeld)
+def spare_holds(office, _peer: str, message, now: float) -> None:
+    """The other registrar's disk holds an intent.
+
+    >>> spare_holds.__name__
+    'spare_holds'
+    """
+    step_on(office, place_of(message), "spare")
+
+
+def step_on(office, key: tuple, what: str) -> None:
+    """One thing less that the counter waits for.
+
+    >>> step_on.__name__
+    'step_on'
+    """
+    entry = office.spool.entries.get(key)
+    if entry and what in entry.lacks:
+        entry.lacks.discard(what)
+        if not entry.lacks:
+            office.outbox.append((entry.client, Held(key[0], key[2], key[1])))
+
+
+@hears(Spare)
+def take_spare(office, peer: str, message, now: float) -> None:
+    """Another registrar's copy.
+
+    >>> take_spare.__name__
+    'take_spare'
+    """
+    spool, key = office.spool, place_of(message)
+    if not listeners.feed_of(office, message.database).has(message.life, message.number):
+        entry = spool.entries.setdefault(key, Entry(message.node, message.text, "", True, now))
+        entry.kind, entry.since = message.kind or entry.kind, now
+        spool.write(key, entry)
+    office.release(peer, SpareHeld(message.life, message.number, message.database))
+
+
+def ripe(office, key: tuple, entry: Entry, lives: dict, now: float) -> str:
+    """What an entry may be appended as now; nothing while it must wait.
+
+    >>> ripe.__name__
+    'ripe'
+    """
+    if entry.kind:
+        return entry.kind if not entry.spare or now - entry.since >= SPARE_TURN_S else ""
+    if lives.get(entry.node) == key[0]:
+        entry.unheard = None
+        return ""
+    entry.unheard = entry.unheard or now
+    return "doubtful" if now - entry.unheard >= GONE_S else ""
+
+
+def mind_spool(office, now: float) -> None:
+    """Gives word to counters whose spare is silent; appends what is ripe.
+
+    >>> mind_spool.__name__
+    'mind_spool'
+    """
+    spool = office.spool
+    if not spool.entries:
+        return
+    for key, entry in spool.entries.items():
+        if entry.lacks == {"spare"} and now - entry.since >= SPARE_S:
+            step_on(office, key, "spare")
+    if not office.settled(now):
+        return
+    lives, batches = office.members.lives(now), {}
+    for key, entry in spool.entries.items():
+        kind = ripe(office, key, entry, lives, now)
+        if kind:
+            batches.setdefault(key[1], []).append((key[0], key[2], entry.text, kind))
+    listened = listeners.held(office).feeds
+    for database, entries in batches.items():
+        feed_key = listeners.FEEDS + database
+        if database not in listened:
+            spool.drop([(life, database, number) for life, number, *_rest in entries])
+        elif now - spool.appended_at.get(database, -1e9) >= APPEND_EVERY_S and not any(
+                proposal.key == feed_key for proposal in office.proposals):
+            spool.appended_at[database] = now
+            office.propose(feed_key, append(sorted(entries)[:MOST_BATCH]), now)
--- /dev/null
+++ b/sumacloom/registrar/taking.py
@@ -0,0 +1,109 @@
+"""What a registrar does with a decided value, key by key."""
+from ..common.logs import Scribe
+from ..courier.messages import News, Panel
+from . import duties, lanes, listeners, voters
+from .feed import Feed
+from .values import BlueprintValue, DutyValue, EvacuationsValue, decode
+
+scribe = Scribe("office")
+TAKERS = {}
+
+
+def takes(key: str):
+    """Registers what is done with the decided values of a key.
+
+    >>> "blueprint" in TAKERS
+    True
+    """
+    def register(function):
+        TAKERS[key] = function
+        return function
+    return register
+
+
+def take(office, key: str, value: bytes, now: float) -> None:
+    """Puts a decided value to use here.
+
+    >>> take.__name__
+    'take'
+    """
+    if key in TAKERS:
+        TAKERS[key](office, value, now)
+    elif key.startswith(listeners.FEEDS):
+        office.spool.sweep(key.removeprefix(listeners.FEEDS), decode(Feed, value))
+
+
+@takes("blueprint")
+def take_blueprint(office, value: bytes, now: float) -> None:
+    """A blueprint is in force.
+
+    >>> TAKERS["blueprint"] is take_blueprint
+    True
+    """
+    found = decode(BlueprintValue, value)
+    if office.board.take(News(found.packed, 0, None, None)):
+        restores = f", it restores {found.restores}" if found.restores else ""
+        scribe.say("the blueprint %d is decided%s", found.ver, restores)
+
+
+@takes("evacuations")
+def take_evacuations(office, value: bytes, now: float) -> None:
+    """Zones are emptied or taken back.
+
+    >>> TAKERS["evacuations"] is take_evacuations
+    True
+    """
+    found = decode(EvacuationsValue, value)
+    if office.board.take(News(None, found.generation, found.zones, None)):
+        scribe.say("the evacuated zones are now: %s", ", ".join(found.zones) or "none")
+
+
+@takes(duties.DUTY)
+def take_duty(office, value: bytes, now: float) -> None:
+    """The duty has a holder.
+
+    >>> TAKERS[duties.DUTY] is take_duty
+    True
+    """
+    found = decode(DutyValue, value)
+    if office.duty is None or found.fence >= office.duty.fence:
+        if found != office.duty:
+            scribe.say("the failover duty is with %s, fence %d", found.holder or "nobody", found.fence)
+        office.duty = found
+
+
+@takes(voters.KEY)
+def take_voters(office, value: bytes, now: float) -> None:
+    """Others vote.
+
+    >>> TAKERS[voters.KEY] is take_voters
+    True
+    """
+    office.take_panel(decode(Panel, value), now)
+
+
+@takes(lanes.KEY)
+def take_lanes(office, value: bytes, now: float) -> None:
+    """A lane is offered or in force.
+
+    >>> TAKERS[lanes.KEY] is take_lanes
+    True
+    """
+    found = decode(lanes.LanesValue, value)
+    office.lanes_at = now
+    if office.board.take(News(None, 0, None, None, found.news())):
+        stage = "in force" if found.in_force else "offered"
+        scribe.say("the lanes %d are %s: %s", found.generation, stage, ", ".join(found.databases) or "none")
+
+
+@takes(listeners.KEY)
+def take_listeners(office, value: bytes, now: float) -> None:
+    """The list of listeners has changed.
+
+    >>> TAKERS[listeners.KEY] is take_listeners
+    True
+    """
+    found = decode(listeners.Listeners, value)
+    if office.board.take(News(None, 0, None, None, None, found.news())):
+        scribe.say("the listeners %d: %s", found.generation, ", ".join(
+            f"{row.name} to {row.database} ({row.state})" for row in found.rows) or "none")
--- a/sumacloom/registrar/values.py
+++ b/sumacloom/registrar/values.py
@@ -7,7 +7,7 @@
 from ..common.blueprint import pack_blueprint, unpack_blueprint
 from ..common.results import Err, Ok, mishap
 
-KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters")
+KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters", "listeners")
 HISTORY = 64
 MOST_PAST, MOST_PAST_BYTES, MOST_UNDOS = 4, 48 << 10, 16
 
