--- a/sumacloom/registrar/listening.py
+++ b/sumacloom/registrar/listening.py
@@ -190,7 +190,7 @@
     'node_rows'
     """
     held, told = office.board.listeners, [report["counter"] for report in reports]
-    silent = {*office.members.sessions, *office.members.remembered} - {row["node"] for row in told}
+    silent = {*office.members.sessions, *office.members.lost(office.now)} - {row["node"] for row in told}
     return [
         {"node": node, "role": "registrar", "generation": held.generation, "digest": list_digest(held),
          "spooled": len(office.spool.entries), "why": ""},
--- a/sumacloom/registrar/members.py
+++ b/sumacloom/registrar/members.py
@@ -6,7 +6,8 @@
 scribe = Scribe("roster")
 SESSION_S = 2.5          # a quiet session ends after this; longer than a counter's own lease
 REMEMBER_S = 120.0       # a counter gone without a word is named for so long where all must agree
-LEFT, LOST = -1, -2      # in place of what a counter holds of the lanes
+GOODBYE_S = 10.0
+LEFT, BYE, GONE = -1, -2, -3       # in place of what a counter holds of the lanes
 
 
 class Session(NamedTuple):
@@ -30,7 +31,8 @@
     def __init__(self):
         self.sessions: dict[str, Session] = {}
         self.departed: dict[str, float] = {}
-        self.remembered: dict[str, tuple] = {}     # counters ended here and nowhere back: node: (zone, since)
+        self.goodbyes: dict[str, float] = {}       # counters that ended in order
+        self.seen: dict[str, tuple] = {}           # counters, wherever in session: node: (zone, when last)
         self.peers: dict[str, tuple] = {}          # peer: (heard at, [(node, zone, address, lanes)])
 
     def hear(self, node: str, zone: str, address: str, now: float, lanes: int = 0, listeners: int = 0,
@@ -55,8 +57,8 @@
         session = self.sessions.pop(node, None)
         if session:
             self.departed[node] = now
-            if not in_order:
-                self.remembered[node] = (session.zone, now)
+            if in_order:
+                self.goodbyes[node] = now
             scribe.say("the counter %s is no longer a member here", node)
 
     def hear_peer(self, peer: str, sessions: list | None, now: float) -> None:
@@ -68,16 +70,37 @@
             sessions = self.peers.get(peer, (now, []))[1]
         self.peers[peer] = (now, sessions)
 
-    def told(self) -> list[tuple]:
+    def told(self, now: float = 0.0) -> list[tuple]:
         """For the peers: (node, zone, address, lanes, listeners, life) of our sessions, and of those that have left.
 
+        Of a counter lost without a word, how many seconds ago stands in place of its life.
+
         >>> Members().told()
         []
         """
+        lost = [(node, zone, "", GONE, 0, int(now - seen)) for node, (zone, seen) in self.lost(now).items()]
+        return self.own_rows() + lost
+
+    def own_rows(self) -> list[tuple]:
+        """Our sessions, and those that ended here of late.
+
+        >>> Members().own_rows()
+        []
+        """
         left = [(node, "", "", LEFT, 0, 0) for node in self.departed if node not in self.sessions]
-        lost = [(node, "", "", LOST, 0, 0) for node in self.remembered if node not in {*self.sessions, *self.departed}]
+        byes = [(node, "", "", BYE, 0, 0) for node in self.goodbyes if node not in self.sessions]
         return [(node, one.zone, one.address, one.lanes, one.listeners, one.life)
-                for node, one in self.sessions.items()] + left + lost
+                for node, one in self.sessions.items()] + left + byes
+
+    def lost(self, now: float) -> dict[str, tuple[str, float]]:
+        """Counters that ended without a word and are in session nowhere: node to (zone, when last seen).
+
+        >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0); members.sweep(0.1); members.sweep(9.0)
+        >>> members.lost(9.0)
+        {'edge-1': ('z', 0.1)}
+        """
+        there = self.rows(now)
+        return {node: found for node, found in self.seen.items() if there.get(node, ("", "", LEFT))[2] < 0}
 
     def rows(self, now: float) -> dict[str, tuple]:
         """What is told of each counter anywhere; what a standing session says goes first.
@@ -87,7 +110,7 @@
         """
         told = [row for heard, rows in self.peers.values() if now - heard < SESSION_S for row in rows]
         found = {}
-        for node, *row in [*told, *self.told()]:
+        for node, *row in [*told, *self.own_rows()]:
             if node not in found or row[2] > found[node][2]:
                 found[node] = tuple(row)
         return found
@@ -98,7 +121,7 @@
         >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0, 4); members.all(1.0)
         {'edge-1': ('z', 'a', 4)}
         """
-        return {node: row[:3] for node, row in self.rows(now).items() if row[2] != LOST}
+        return {node: row[:3] for node, row in self.rows(now).items() if row[2] > BYE}
 
     def unaware(self, generation: int, now: float) -> list[str]:
         """The counters not known to hold a generation of the listeners, those lost without a word among them.
@@ -106,7 +129,8 @@
         >>> members = Members(); _fresh = members.hear("edge-1", "z", "a", 0.0); members.unaware(1, 0.0)
         ['edge-1']
         """
-        return sorted(node for node, row in self.rows(now).items() if row[3] < generation)
+        behind = {node for node, row in self.rows(now).items() if row[2] >= 0 and row[3] < generation}
+        return sorted(behind | {*self.lost(now)})
 
     def lives(self, now: float) -> dict[str, int]:
         """The life of each counter in session anywhere.
@@ -158,7 +182,14 @@
             self.end(node, now)
         for node in [node for node, left in self.departed.items() if now - left > SESSION_S]:
             del self.departed[node]
-        there = self.all(now) if self.remembered else {}
-        for node in [node for node, (_zone, since) in self.remembered.items()
-                     if now - since > REMEMBER_S or there.get(node, ("", "", LEFT))[2] >= 0]:
-            del self.remembered[node]
+        for node in [node for node, left in self.goodbyes.items() if now - left > GOODBYE_S or node in self.sessions]:
+            del self.goodbyes[node]
+        for node, row in self.rows(now).items():
+            if row[2] >= 0:
+                self.seen[node] = (row[0], now)
+            elif row[2] == BYE:
+                self.seen.pop(node, None)
+            elif row[2] == GONE:
+                self.seen.setdefault(node, (row[0], now - row[4]))
+        for node in [node for node, (_zone, seen) in self.seen.items() if now - seen > REMEMBER_S]:
+            del self.seen[node]
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -305,7 +305,7 @@
         """
         return PeerBeat(
             {key: ballot for key, (ballot, _value) in self.decided.items()} if whole else None,
-            self.members.told() if whole else None,
+            self.members.told(now) if whole else None,
             self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
             [peer for peer in self.others() if self.alive(peer, now)],
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
@@ -339,7 +339,7 @@
             self.tell_all(Tell(self.barrier))
         if now - self.beaten_at >= PEER_BEAT_S:
             self.beaten_at = now
-            state = (len(self.decided), self.duty, self.acceptor.panel.generation, self.board.lanes.order, self.board.evacuations, sorted(self.members.told()),
+            state = (len(self.decided), self.duty, self.acceptor.panel.generation, self.board.lanes.order, self.board.evacuations, sorted(self.members.own_rows()),
                      [self.alive(peer, now) for peer in self.others()])
             whole = state != self.told_state or now - self.told_whole_at >= WHOLE_S
             if whole:
--- a/sumacloom/registrar/undo.py
+++ b/sumacloom/registrar/undo.py
@@ -50,7 +50,7 @@
         *({"node": name, "role": "counter", "generation": 0, "body": "", "restores": 0, "why": "does not answer"}
           for name in sessions if name not in told),
         *({"node": name, "role": "counter", "generation": 0, "body": "", "restores": 0,
-           "why": f"gone for {now - since:.0f} s"} for name, (_zone, since) in office.members.remembered.items()),
+           "why": f"gone for {now - since:.0f} s"} for name, (_zone, since) in office.members.lost(now).items()),
     ]
 
 
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,406 @@
+"""Who listens, and that each item comes once: tables, and a whole fleet split and healed under load."""
+import json
+from collections import Counter
+
+import pytest
+
+from sumacloom.common.http import Request
+from sumacloom.counter import losses, outcomes, spooling, upkeep
+from sumacloom.courier.board import list_digest
+from sumacloom.courier.messages import Held, Intent, Verdict
+from sumacloom.fleet import commands, listening as taking
+from sumacloom.registrar import feed, listeners, listening
+from sumacloom.registrar.values import decode, put_blueprint
+
+from .stage import Stage
+from .test_fleet import Stub, refusal, reply
+from .town import Town, blueprint
+
+
+# ---------------------------------------------------------------- the register and the feed
+def chain(kind, *changes):
+    """The value after changes, and what each came to."""
+    value, names = None, []
+    for change in changes:
+        result = change(value)
+        names.append(result.err().name if result.is_err() else "same" if result.ok() is None else "ok")
+        value = result.ok() if result.is_ok() and result.ok() is not None else value
+    return decode(kind, value), names
+
+
+DONE = [(7, 1, "PUT a", "done"), (7, 2, "PUT b", "done")]
+FEEDS = [
+    # (changes, what they come to, items left)
+    ([feed.append(DONE)], ["ok"], []),                                             # nobody listens: only remembered
+    ([feed.join("d"), feed.append(DONE), feed.append(DONE)], ["ok", "ok", "same"], ["PUT a", "PUT b"]),    # a replay
+    ([feed.join("d"), feed.append(DONE[1:]), feed.append(DONE)], ["ok"] * 3, ["PUT b", "PUT a"]),
+    ([feed.join("d"), feed.append([DONE[0], DONE[0]])], ["ok"] * 2, ["PUT a"]),
+    ([feed.join("d"), feed.append([(7, 1, "PUT a", "not")]), feed.append(DONE)], ["ok"] * 3, ["PUT b"]),
+    ([feed.join("d"), feed.append(DONE), feed.acknowledge("d", 2)], ["ok"] * 3, ["PUT b"]),
+    ([feed.join("d"), feed.append(DONE), feed.acknowledge("d", 3), feed.acknowledge("d", 2)],
+     ["ok"] * 3 + ["cursor_behind"], []),
+    ([feed.join("d"), feed.append(DONE), feed.acknowledge("d", 4)], ["ok", "ok", "cursor_ahead"], ["PUT a", "PUT b"]),
+    ([feed.join("d"), feed.acknowledge("e", 1)], ["ok", "no_listener"], []),
+    ([feed.join("d"), feed.join("e"), feed.append(DONE), feed.acknowledge("d", 3)], ["ok"] * 4, ["PUT a", "PUT b"]),
+    ([feed.join("d"), feed.append(DONE), feed.leave("d"), feed.leave("d")], ["ok"] * 3 + ["same"], []),
+    ([feed.join("d"), feed.append(DONE), feed.join("d")], ["ok", "ok", "same"], ["PUT a", "PUT b"]),
+]
+
+
+@pytest.mark.parametrize("changes, expected, left", FEEDS)
+def test_a_feed(changes, expected, left):
+    value, names = chain(feed.Feed, *changes)
+    assert names == expected and [item.text for item in value.items] == left
+
+
+def test_a_listener_too_slow_is_ended_with_the_number_it_missed_and_the_others_go_on():
+    value = feed.Feed(cursors={"slow": 1, "quick": 1})
+    for batch in range(11):
+        entries = [(7, batch * 100 + number, "PUT a b", "done") for number in range(100)]
+        value = decode(feed.Feed, feed.append(entries)(feed.encode(value)).ok())
+        value = decode(feed.Feed, feed.acknowledge("quick", value.next)(feed.encode(value)).ok() or feed.encode(value))
+    assert value.lapsed == {"slow": 1100} and value.cursors == {"quick": 1101} and not value.items
+    assert feed.acknowledge("slow", 1)(feed.encode(value)).err().name == "lapsed"
+
+
+ROWS = [
+    ([listeners.subscribe("d", "books", "t"), listeners.subscribe("d", "books", "t")], ["ok", "same"], 1),
+    ([listeners.subscribe("d", "books", "t"), listeners.subscribe("d", "books", "u")], ["ok", "listener_exists"], 1),
+    ([listeners.subscribe("d", "books", "t"), listeners.unsubscribe("d", "books", "asked"),
+      listeners.unsubscribe("d", "books", "asked")], ["ok", "ok", "same"], 0),                    # a lost answer
+    ([listeners.subscribe("d", "books", "t"), listeners.unsubscribe("e", "books", "asked")], ["ok", "no_listener"], 1),
+    ([listeners.subscribe(f"d{n}", "books", "t") for n in range(257)], ["ok"] * 256 + ["too_many_listeners"], 256),
+]
+
+
+@pytest.mark.parametrize("changes, expected, count", ROWS)
+def test_the_list(changes, expected, count):
+    value, names = chain(listeners.Listeners, *changes)
+    assert names == expected and len(value.rows) == count
+    assert [entry[:2] for entry in value.ended] == ([] if count else [("d", "books")])
+
+
+# ---------------------------------------------------------------- a counter
+def listened():
+    stage = Stage()
+    lead, _q, _r = stage.warm()
+    stage.floor.spooling.listen(["books"], False)
+    return stage, lead
+
+
+def spooled(stage):
+    """What goes to the registrar; the rest of the effects is done."""
+    found = [entry[1] for entry in stage.floor.effects if entry[0] == "spool"]
+    stage.floor.effects = [entry for entry in stage.floor.effects if entry[0] != "spool"]
+    stage.act()
+    return found
+
+
+def say(stage, key, line):
+    stage.floor.session_data(key, (line + "\r\n").encode(), stage.now)
+    return spooled(stage)
+
+
+def grant(stage, intent):
+    spooling.intent_held(stage.floor, Held(intent.life, intent.number, intent.database), stage.now)
+    return spooled(stage)
+
+
+def answer(stage, lead, *lines):
+    outcomes.wire_data(stage.floor, lead.key, "".join(line + "\r\n" for line in lines).encode(), stage.now)
+    return spooled(stage)
+
+
+def test_a_write_goes_out_only_once_its_intent_is_held_and_its_verdict_is_told_until_noted():
+    stage, lead = listened()
+    stage.client(1, "books")
+    intent, = say(stage, 1, "QUERY 5 PUT a b")
+    assert isinstance(intent, Intent) and intent.text == "PUT a b" and stage.take(lead.key) == []
+    grant(stage, intent)
+    assert stage.take(lead.key) == ["QUERY 5 PUT a b"]
+    verdict, = answer(stage, lead, "DONE 7.1", "READY I 1.11")
+    assert isinstance(verdict, Verdict) and verdict.kind == "done" and stage.take(1)[0] == "DONE 7.1"
+    stage.now += 1.1
+    upkeep.tick(stage.floor, stage.now)
+    assert spooled(stage) == [verdict]
+    stage.floor.spooling.note("books", verdict.number)
+    stage.now += 1.1
+    upkeep.tick(stage.floor, stage.now)
+    assert spooled(stage) == []
+
+
+@pytest.mark.parametrize("transaction", [False, True])
+def test_without_a_registrar_the_write_is_refused_unsent_and_a_late_word_changes_nothing(transaction):
+    stage, lead = listened()
+    if transaction:
+        stage.begun(lead)
+        intent, = say(stage, 1, "QUERY 6 COMMIT")
+        assert intent.text == "PUT a b"
+    else:
+        stage.client(1, "books")
+        intent, = say(stage, 1, "QUERY 5 PUT a b")
+    stage.now += 0.65
+    upkeep.tick(stage.floor, stage.now)
+    assert {entry.kind for entry in spooled(stage)} == {"not"} and stage.take(1)[0].startswith("ERR ROLLEDBACK" if transaction else "ERR BUSY not run")
+    grant(stage, intent)
+    assert not [line for line in stage.take(lead.key) if "PUT" in line or "COMMIT" in line]
+
+
+ENDS = [
+    # (what the backend answers, or None for a lost wire, what listeners are told)
+    (("DONE 7.1", "READY I 1.12"), "done"),
+    (("ERR RO p", "READY E 1.12"), "not"),
+    (("ERR FAIL x", "READY E 1.12"), "doubtful"),
+    (None, "doubtful"),
+]
+
+
+@pytest.mark.parametrize("lines, kind", ENDS)
+@pytest.mark.parametrize("gone", [False, True])
+def test_the_verdict_of_a_commit(lines, kind, gone):
+    """Also when the client left while its COMMIT was under way."""
+    stage, lead = listened()
+    stage.begun(lead)
+    intent, = say(stage, 1, "QUERY 6 COMMIT")
+    grant(stage, intent)
+    if gone:
+        stage.floor.session_closed(1, stage.now)
+    if lines:
+        found = answer(stage, lead, *lines)
+    else:
+        losses.wire_lost(stage.floor, lead, "cut", stage.now)
+        found = spooled(stage)
+    assert [verdict.kind for verdict in found if isinstance(verdict, Verdict)] == [kind]
+
+
+def test_a_client_that_leaves_before_its_intent_is_held_has_written_nothing():
+    stage, lead = listened()
+    stage.client(1, "books")
+    intent, = say(stage, 1, "QUERY 5 PUT a b")
+    stage.floor.session_closed(1, stage.now)
+    assert [verdict.kind for verdict in spooled(stage)] == ["not"]
+    grant(stage, intent)
+    assert stage.take(lead.key) == [] and lead.owner is None
+
+
+def test_what_nobody_listens_to_passes_untouched_and_the_unsure_treat_all_as_listened_to():
+    stage = Stage()
+    lead, _q, _r = stage.warm()
+    stage.client(1, "books")
+    assert say(stage, 1, "QUERY 5 PUT a b") == [] and stage.take(lead.key) == ["QUERY 5 PUT a b"]
+    answer(stage, lead, "DONE 7.1", "READY I 1.11")
+    stage.floor.spooling.listen([], True)
+    assert len(say(stage, 1, "QUERY 6 PUT a c")) == 1
+
+
+# ---------------------------------------------------------------- the whole fleet
+class Caller:
+    """What the calls of the admin API see of a registrar in a town."""
+
+    def __init__(self, town, ip):
+        self.town, self.office = town, town.land.offices[ip]
+
+    def now(self):
+        return self.town.land.now
+
+    async def decide(self, key, change):
+        return self.town.decide(self.office.me, key, change)
+
+
+def call(town, ip, handler, *words, path="/", body=None):
+    """Runs one call of the API to its end; gives status and body."""
+    routine = handler(Caller(town, ip), Request("GET", path, {}, json.dumps(body).encode()), *words)
+    try:
+        routine.send(None)
+    except StopIteration as end:
+        return end.value.status, json.loads(end.value.body), dict(end.value.headers)
+    raise AssertionError("the call waits")
+
+
+def subscribe(town, ip, name):
+    return call(town, ip, listening.post_listener, body={"name": name, "database": "books", "token": name})
+
+
+class Desk:
+    """A subscriber: its effects and its cursor are one thing; answers may be lost on the way to it."""
+
+    def __init__(self, town, name):
+        self.town, self.name, self.items = town, name, []
+
+    def take(self):
+        town = self.town
+        ip = town.random.choice(list(town.land.offices))
+        cursor = self.items[-1]["number"] + 1 if self.items else 0
+        status, body, _headers = call(town, ip, listening.get_items, "books", self.name, path=f"/?cursor={cursor}&most=7")
+        if status == 200 and town.random.random() < 0.8:
+            self.items += body["items"]
+            return not body["items"]
+        return False
+
+    def tokens(self):
+        return [item["text"].split(" ")[2] for item in self.items]
+
+
+def opened(seed, **fields):
+    """A town whose first desk listens before the clients come."""
+    town = Town(seed, **fields)
+    clients, town.clients = town.clients, []
+    assert town.decide("10.0.0.1", "blueprint", put_blueprint(4, blueprint(4), 0)).is_ok()
+    town.run(2.5)
+    assert subscribe(town, "10.0.0.2", "cairo")[0] == 200
+    town.run(2.0)
+    assert [row["state"] for row in listening.list_rows(town.land.offices["10.0.0.1"], town.land.now)] == ["listening"]
+    town.clients = clients
+    return town, Desk(town, "cairo")
+
+
+def heal(town, *desks):
+    """All is whole again; all that is asked ends; every desk takes what there is."""
+    town.split(False)
+    town.loss = 0.0
+    town.run(6.0)
+    town.end()
+    town.run(10.0)
+    for desk in desks:
+        assert any(desk.take() for _try in range(500))        # until one taking brings nothing more
+    digests = {(one.board.listeners.generation, list_digest(one.board.listeners)) for one in town.land.offices.values()}
+    digests |= {(desk.board.listeners.generation, list_digest(desk.board.listeners)) for desk in town.desks}
+    assert len(digests) == 1
+
+
+def check(town, desk, since=()):
+    """Each acknowledged write came once, what is doubtful came marked, nothing else came."""
+    acked = {token for client in town.clients for token in client.acked} - set(since)
+    counts, written = Counter(desk.tokens()), set(town.written())
+    assert acked <= written and len(acked) > 40
+    assert all(counts[token] == 1 for token in acked)
+    assert max(counts.values()) == 1
+    doubtful = {item["text"].split(" ")[2] for item in desk.items if item["doubtful"]}
+    assert set(counts) - doubtful <= written
+    assert written - set(since) <= set(counts)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_after_a_split_under_load_all_lists_are_identical_and_each_item_came_once(seed):
+    """A region is cut and healed while couples are registered; a counter, the duty's holder, a disk are lost."""
+    town, cairo = opened(seed, loss=0.03)
+    town.run(1.0), cairo.take()
+    town.split(True)
+    town.run(2.6)
+    assert subscribe(town, "10.0.0.1", "alex")[0] == 200          # the side with a majority takes it ...
+    status, body, headers = subscribe(town, "10.0.0.3", "aswan")  # ... the other says at once when to come back
+    assert (status, body["code"], headers["Retry-After"]) == (503, 1301, "2")
+    for _beat in range(4):
+        town.run(0.4), cairo.take()
+    lost = town.random.choice(town.desks)
+    town.kill_desk(lost)
+    town.start_desk(lost.region)
+    town.run(town.random.uniform(0.2, 1.5))
+    town.split(False)
+    town.run(5.0)
+    holder = next(ip for ip, one in town.land.offices.items() if one.duty and one.duty.holder == ip)
+    town.land.kill(holder, disk=seed % 2 == 0)
+    town.run(town.random.uniform(0.2, 2.0))
+    town.land.start(holder)
+    town.run(5.0)
+    assert subscribe(town, "10.0.0.3", "aswan")[0] == 200
+    heal(town, cairo)
+    check(town, cairo)
+    rows = listening.list_rows(town.land.offices["10.0.0.3"], town.land.now)
+    assert {(row["name"], row["state"]) for row in rows} >= {("cairo", "listening")} and len(rows) == 3
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_listener_that_joins_during_a_split_is_listening_only_once_the_cut_off_know(seed):
+    town, cairo = opened(100 + seed)
+    town.split(True)
+    town.run(3.0)
+    subscribe(town, "10.0.0.1", "alex")
+    town.run(3.0)
+    row = next(row for row in listening.list_rows(town.land.offices["10.0.0.1"], town.land.now) if row["name"] == "alex")
+    assert row["state"] == "joining" and row["waits_for"]
+    town.split(False)
+    town.run(4.0)
+    row = next(row for row in listening.list_rows(town.land.offices["10.0.0.1"], town.land.now) if row["name"] == "alex")
+    before = town.written()
+    assert row["state"] == "listening"
+    town.run(1.0)
+    alex = Desk(town, "alex")
+    heal(town, cairo, alex)
+    check(town, cairo), check(town, alex, since=set(before))
+
+
+def test_an_unknown_end_is_delivered_once_and_marked():
+    town, cairo = opened(3)
+    for _round in range(6):
+        town.run(0.5)
+        town.kill_desk(town.desks[0])
+        town.start_desk()
+    heal(town, cairo)
+    check(town, cairo)
+    assert any(item["doubtful"] for item in cairo.items)
+
+
+# ---------------------------------------------------------------- bad input
+CALLS = [
+    (listening.post_listener, (), "/", {"name": "d", "database": "nowhere"}, "unknown_database"),
+    (listening.post_listener, (), "/", {"name": "a b", "database": "books"}, "bad_request"),
+    (listening.post_listener, (), "/", {"name": "d" * 65, "database": "books"}, "bad_request"),
+    (listening.post_listener, (), "/", {"database": "books"}, "bad_request"),
+    (listening.post_listener, (), "/", ["d"], "bad_request"),
+    (listening.post_listener, (), "/", {"name": "cairo", "database": "books", "token": "another"}, "listener_exists"),
+    (listening.delete_listener, ("books", "nobody"), "/", None, "no_listener"),
+    (listening.get_items, ("books", "nobody"), "/?cursor=1", None, "no_listener"),
+    (listening.get_items, ("books", "cairo"), "/?cursor=x", None, "bad_request"),
+    (listening.get_items, ("books", "cairo"), "/?cursor=-4", None, "bad_request"),
+    (listening.get_items, ("books", "cairo"), "/?cursor=900", None, "cursor_ahead"),
+]
+
+
+def test_bad_calls_are_refused_by_number_and_change_nothing():
+    town, _cairo = opened(1)
+    town.clients = []
+    before = {key: value for key, (_ballot, value) in town.land.offices["10.0.0.1"].decided.items()}
+    for handler, words, path, body, name in CALLS:
+        status, found, _headers = call(town, "10.0.0.1", handler, *words, path=path, body=body)
+        assert found["error"] == name and 400 <= status < 500, (name, found)
+    assert before == {key: value for key, (_ballot, value) in town.land.offices["10.0.0.1"].decided.items()}
+
+
+# ---------------------------------------------------------------- the command line
+def item(number):
+    return {"number": number, "text": f"PUT a {number}", "doubtful": False}
+
+
+def test_the_file_is_the_cursor_a_torn_line_is_cut_and_nothing_is_written_twice(tmp_path):
+    path = tmp_path / "items"
+    path.write_bytes(json.dumps(item(4)).encode() + b"\n" + b'{"number": 5, "te')
+    stub = Stub(reply(200, {"items": [item(4), item(5), item(6)], "cursor": 7}))
+    assert taking.take_all([stub.address], "d", "books", str(path), 2, 5.0).ok() == 2
+    assert [json.loads(line)["number"] for line in path.read_text().splitlines()] == [4, 5, 6]
+    assert "cursor=5" in stub.asked[0][1] and "cursor=7" in stub.asked[-1][1]
+
+
+LISTENING = reply(200, [{"name": "d", "database": "books", "state": "listening"}])
+JOINING = reply(200, [{"name": "d", "database": "books", "state": "joining", "waits_for": "edge-3"}])
+COMMANDS = [
+    ([reply(200, {}), LISTENING, reply(200, {"items": [item(1)]})], lambda at, path: commands.listen(
+        "d", "books", path, count=1, at=at), 0, ""),
+    ([reply(200, {}), JOINING], lambda at, path: commands.listen("d", "books", path, count=1, at=at, wait=0.0), 6, "edge-3"),
+    ([refusal("listener_exists")], lambda at, path: commands.listen("d", "books", path, count=1, at=at), 5, "1426"),
+    ([reply(200, {}), LISTENING, refusal("lapsed")], lambda at, path: commands.listen("d", "books", path, count=1, at=at), 5, "1431"),
+    ([reply(200, {}), LISTENING, reply(200, {"items": [item(1)]})], lambda at, path: commands.listen(
+        "d", "books", path + "/no/where", count=1, at=at), 3, "1432"),
+    ([refusal("no_listener")], lambda at, path: commands.unlisten("d", "books", at=at), 4, "1427"),
+    ([reply(200, [{"node": "a", "generation": 2, "digest": "x"}])], lambda at, path: commands.listeners(at=at, nodes=True), 0, ""),
+    ([reply(200, [{"node": "a", "generation": 2, "digest": "x"}, {"node": "b", "generation": 1, "digest": "y"}])],
+     lambda at, path: commands.listeners(at=at, nodes=True), 6, "b (1)"),
+    ([reply(200, [{"node": "a", "generation": 2, "digest": "x"}, {"node": "b", "generation": 2, "digest": "y"}])],
+     lambda at, path: commands.listeners(at=at, nodes=True), 6, "differ"),
+]
+
+
+@pytest.mark.parametrize("replies, command, code, said", COMMANDS)
+def test_commands(replies, command, code, said, tmp_path, capsys):
+    assert command(Stub(*replies).address, str(tmp_path / "items")) == code
+    assert said in capsys.readouterr().err
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -53,6 +53,8 @@
             if key == "blueprint":               # two decided values on one generation never
                 found = decode(BlueprintValue, value)
                 assert self.decided.setdefault(found.ver, found.raw) == found.raw
+            if key not in ("blueprint", voters.KEY):
+                assert self.decided.setdefault((key, ballot), value) == value
             if key == voters.KEY:
                 found = decode(Panel, value)
                 assert self.decided.setdefault(("panel", found.generation), found) == found
@@ -80,9 +82,14 @@
         due = [entry for entry in self.post if entry[0] <= self.now]
         self.post = [entry for entry in self.post if entry[0] > self.now]
         for _at, ip, peer, message in sorted(due, key=lambda entry: entry[0]):
-            if peer in self.offices and frozenset((ip, peer)) not in self.cut:
+            if peer not in self.offices:
+                self.mail(ip, peer, message)
+            elif frozenset((ip, peer)) not in self.cut:
                 self.offices[peer].hear(ip, Unframer().feed(frame(message))[0], self.now)
 
+    def mail(self, ip, node, message):
+        """A message for a counter, or for a registrar that is down."""
+
     def run(self, seconds):
         for _step in range(int(seconds / 0.02)):
             self.step()
--- a/tests/town.py
+++ b/tests/town.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from sumacloom.common.settings import Settings
-from sumacloom.counter import losses, outcomes, upkeep
+from sumacloom.counter import losses, outcomes, spooling, upkeep
 from sumacloom.counter.floor import Floor
 from sumacloom.courier.board import Board
-from sumacloom.courier.messages import Record
+from sumacloom.courier.messages import Held, Intent, Record
+from sumacloom.registrar.spool import take_intent, take_verdict
 
 from .test_voters import Land
 
@@ -56,12 +57,11 @@
     def __init__(self, town, number, region):
         self.town, self.node, self.region = town, f"edge-{number}", region
         self.life = town.random.getrandbits(40)
-        self.floor = Floor(Settings(self.node, "counter", f"10.0.1.{number}", "a", "north", zones={"a": "north"}))
-        self.floor.life = self.life
+        self.floor = Floor(Settings(self.node, "counter", f"10.0.1.{number}", "a", "north", zones={"a": "north"}), self.life)
         self.floor.yard.next_key = 1 << 20
         self.floor.yard.members = 4
         self.board, self.sure_at = Board(), -1e9
-        self.replies = {}
+        self.replies, self.session = {}, ""
 
     def office(self):
         """The registrar this counter can hear, if any."""
@@ -76,7 +76,11 @@
         news = one.board.news_for(self.board.digest())
         if one.settled(now):
             self.sure_at = now
-        one.members.hear(self.node, "a", self.node, now, self.board.digest().lanes)
+        digest = self.board.digest()
+        one.members.hear(self.node, "a", self.node, now, digest.lanes, digest.listeners, self.life)
+        if self.session not in ("", one.me) and self.session in self.town.land.offices:
+            self.town.land.offices[self.session].members.end(self.node, now)
+        self.session = one.me
         if news and self.board.take(news):
             if self.board.blueprint:
                 self.floor.take_blueprint(self.board.blueprint, now)
@@ -99,8 +103,8 @@
                 self.replies.setdefault(rest[0], []).extend(rest[1].decode().split("\r\n")[:-1])
             elif kind == "shut":
                 town.shut(self, rest[0])
-            else:
-                town.effect(self, kind, *rest)
+            elif kind == "spool" and self.session and not town.parted(self.region, town.region_of(self.session)):
+                town.letters.append((now + town.random.uniform(0.001, 0.03), self, self.session, rest[0]))
 
 
 class Client:
@@ -177,7 +181,8 @@
         self.random = random.Random(seed)
         self.land = Land(seed)
         self.loss, self.cut, self.over, self.ids, self.made = loss, False, False, 0, 0
-        self.post, self.dead = deque(), set()
+        self.post, self.letters = deque(), []
+        self.land.mail = self.mail
         self.stores = {name: Store(name, service) for name, service in (("p", "shelf-a"), ("q", "shelf-b"))}
         self.desks = []
         for _desk in range(desks):
@@ -216,8 +221,24 @@
         for store in self.stores.values():
             store.open.pop((desk.life, key), None)
 
-    def effect(self, desk, kind, *rest):
-        """What only some towns know."""
+    def mail(self, ip, node, message):
+        """A registrar's message for a counter."""
+        desk = next((desk for desk in self.desks if desk.node == node), None)
+        if desk is None or self.parted(desk.region, self.region_of(ip)) or self.random.random() < self.loss:
+            return
+        if isinstance(message, Held):
+            spooling.intent_held(desk.floor, message, self.land.now)
+        elif message.life == desk.life:
+            desk.floor.spooling.note(message.database, message.number)
+
+    def carry_letters(self, now):
+        """What counters tell registrars; some of it is lost."""
+        due = [letter for letter in self.letters if letter[0] <= now]
+        self.letters = [letter for letter in self.letters if letter[0] > now]
+        for _at, desk, ip, message in due:
+            if ip in self.land.offices and not self.parted(desk.region, self.region_of(ip)) and self.random.random() >= self.loss:
+                take = take_intent if isinstance(message, Intent) else take_verdict
+                take(self.land.offices[ip], desk.node, message, now)
 
     def step(self):
         land = self.land
@@ -247,8 +268,12 @@
             if self.random.random() < 0.3:
                 desk.take_news(now)
             desk.floor.take_lanes(desk.board.lanes.databases, desk.sure, self.used(desk), now)
+            rows = desk.board.listeners
+            desk.floor.spooling.listen([database for _name, database, _state in rows.rows],
+                                       bool(rows.generation) and not desk.sure)
             upkeep.tick(desk.floor, now)
             desk.act(now)
+        self.carry_letters(now)
         for client in self.clients:
             client.tick(now)
         for desk in self.desks:
