--- a/sumacloom/fleet/orders.py
+++ b/sumacloom/fleet/orders.py
@@ -53,7 +53,7 @@
         time.sleep(0.2)
 
 
-def listen(name: str, database: str, into: str, *, count: int = 0, seconds: float = 0.0, at: str = "",
+def listen(name: str, database: str, *, into: str, count: int = 0, seconds: float = 0.0, at: str = "",
            wait: float = 15.0) -> int:
     """Listens to a database: each committed write comes once, as a line of the file, which is the cursor too.
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -385,12 +385,12 @@
 JOINING = reply(200, [{"name": "d", "database": "books", "state": "joining", "waits_for": "edge-3"}])
 COMMANDS = [
     ([reply(200, {}), LISTENING, reply(200, {"items": [item(1)]})], lambda at, path: commands.listen(
-        "d", "books", path, count=1, at=at), 0, ""),
-    ([reply(200, {}), JOINING], lambda at, path: commands.listen("d", "books", path, count=1, at=at, wait=0.0), 6, "edge-3"),
-    ([refusal("listener_exists")], lambda at, path: commands.listen("d", "books", path, count=1, at=at), 5, "1426"),
-    ([reply(200, {}), LISTENING, refusal("lapsed")], lambda at, path: commands.listen("d", "books", path, count=1, at=at), 5, "1431"),
+        "d", "books", into=path, count=1, at=at), 0, ""),
+    ([reply(200, {}), JOINING], lambda at, path: commands.listen("d", "books", into=path, count=1, at=at, wait=0.0), 6, "edge-3"),
+    ([refusal("listener_exists")], lambda at, path: commands.listen("d", "books", into=path, count=1, at=at), 5, "1426"),
+    ([reply(200, {}), LISTENING, refusal("lapsed")], lambda at, path: commands.listen("d", "books", into=path, count=1, at=at), 5, "1431"),
     ([reply(200, {}), LISTENING, reply(200, {"items": [item(1)]})], lambda at, path: commands.listen(
-        "d", "books", path + "/no/where", count=1, at=at), 3, "1432"),
+        "d", "books", into=path + "/no/where", count=1, at=at), 3, "1432"),
     ([refusal("no_listener")], lambda at, path: commands.unlisten("d", "books", at=at), 4, "1427"),
     ([reply(200, [{"node": "a", "generation": 2, "digest": "x"}])], lambda at, path: commands.listeners(at=at, nodes=True), 0, ""),
     ([reply(200, [{"node": "a", "generation": 2, "digest": "x"}, {"node": "b", "generation": 1, "digest": "y"}])],
