--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -69,13 +69,15 @@
             self.feed_children()
 
     def feed_children(self) -> None:
-        """Sends each child what it lacks.
+        """Sends each child what it lacks; one whose link is still full gets the newest once that is through.
 
         >>> Member.feed_children.__name__
         'feed_children'
         """
         digest = self.board.digest()
         for child in self.children:
+            if not child.outlet.flush():
+                continue
             if child.digest is not None and child.digest != digest:
                 news = self.board.news_for(child.digest)
                 if news:
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -232,6 +232,7 @@
             listeners = self.member.board.listeners
             self.floor.spooling.listen([database for _name, database, _state in listeners.rows],
                                        bool(listeners.generation) and not self.member.sure)
+            self.member.feed_children()
             self.member.leaving = self.floor.leaving != "serving"
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -1,10 +1,14 @@
 """The news a daemon holds and passes on; none of it ever moves back within a process life."""
 import zlib
 
-from ..common.blueprint import Blueprint, decode_blueprint, unpack_blueprint
+from ..common.blueprint import PACK_FROM, Blueprint, decode_blueprint, pack_blueprint, unpack_blueprint
+from ..common.differences import MARK, differ, patch
 from .messages import Digest, LaneNews, ListenNews, News, Record, digest_records
 
 
+MOST_PAST = 4
+
+
 def body_digest(packed: bytes) -> str:
     """A short digest of a blueprint's own bytes, by which nodes are compared.
 
@@ -35,6 +39,8 @@
     def __init__(self):
         self.blueprint: Blueprint | None = None
         self.packed = b""
+        self.past: list[tuple[int, bytes]] = []    # (ver, packed body) of late, the newest first
+        self.differences: dict[int, bytes] = {}    # what leads from one of those to the present body
         self.evacuations = 0
         self.zones: list[str] = []
         self.records: dict[str, Record] = {}
@@ -59,9 +65,7 @@
         """
         changed = False
         if news.blueprint is not None:
-            blueprint = decode_blueprint(news.blueprint)
-            if self.blueprint is None or blueprint.ver > self.blueprint.ver:
-                self.blueprint, self.packed, changed = blueprint, news.blueprint, True
+            changed = self.take_blueprint(news.blueprint)
         if news.zones is not None and news.evacuations > self.evacuations:
             self.evacuations, self.zones, changed = news.evacuations, news.zones, True
         if news.lanes is not None and news.lanes.order > self.lanes.order:
@@ -75,6 +79,38 @@
             changed = True
         return changed
 
+    def take_blueprint(self, told: bytes) -> bool:
+        """Takes a body, packed or as it differs from ours; an older one, or a difference of another, changes nothing.
+
+        >>> board = Board(); board.take_blueprint(b'{"ver": 3}'), board.take_blueprint(differ(b"x", b'{"ver": 4}'))
+        (True, False)
+        """
+        if told.startswith(MARK):
+            try:
+                told = pack_blueprint(patch(unpack_blueprint(self.packed), told))
+            except ValueError:
+                return False
+        blueprint = decode_blueprint(told)
+        if self.blueprint and blueprint.ver <= self.blueprint.ver:
+            return False
+        if self.blueprint:
+            self.past = [(self.blueprint.ver, self.packed), *self.past][:MOST_PAST]
+        self.blueprint, self.packed, self.differences = blueprint, told, {}
+        return True
+
+    def body_for(self, ver: int) -> bytes:
+        """Our body for one that holds a generation: as it differs from that, where we know it and that is shorter.
+
+        >>> board = Board(); _took = board.take_blueprint(b'{"ver": 3}'); board.body_for(0)
+        b'{"ver": 3}'
+        """
+        if ver not in self.differences:
+            old = next((packed for kept, packed in self.past if kept == ver), None)
+            shorter = old is not None and len(self.packed) >= PACK_FROM
+            self.differences[ver] = differ(
+                unpack_blueprint(old), unpack_blueprint(self.packed)) if shorter else self.packed
+        return min(self.differences[ver], self.packed, key=len)
+
     def newer(self, record: Record) -> bool:
         """Whether a record is newer than the one held.
 
@@ -103,7 +139,7 @@
         if held == mine:
             return None
         news = News(
-            self.packed if mine.blueprint > held.blueprint else None,
+            self.body_for(held.blueprint) if mine.blueprint > held.blueprint else None,
             mine.evacuations,
             self.zones if mine.evacuations > held.evacuations else None,
             list(self.records.values()) if mine.records != held.records else None,
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -135,7 +135,7 @@
         """
         board, digest = self.office.board, self.office.board.digest()
         for node, link in self.counters.items():
-            if link.digest is None or link.digest == digest or link.parent:
+            if link.digest is None or link.digest == digest or link.parent or not link.outlet.flush():
                 continue
             news = board.news_for(link.digest)
             if news:
--- a/sumacloom/registrar/values.py
+++ b/sumacloom/registrar/values.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..common.blueprint import pack_blueprint, unpack_blueprint
+from ..common.differences import differ, patch
 from ..common.results import Err, Ok, mishap
 
 KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters", "listeners")
@@ -16,7 +17,7 @@
     ver: int
     packed: bytes
     history: list[tuple[int, str]]       # (ver, digest) of those taken, the newest last
-    past: list[tuple[int, bytes]] = []   # bodies before this one, packed, the newest first
+    past: list[tuple[int, bytes]] = []   # bodies before this one, the newest first, each as it differs from its follower
     undos: list[tuple[int, int, int]] = []     # (ver undone, ver whose body came back, its new ver)
 
     @property
@@ -37,18 +38,18 @@
         """
         return next((old for _undone, old, ver in self.undos if ver == self.ver), 0)
 
-    def before(self) -> list[tuple[int, bytes]]:
-        """What the next value keeps to go back to: bounded in bytes, but always the one before.
+    def before(self, raw: bytes) -> list[tuple[int, bytes]]:
+        """What the next value, of that body, keeps to go back to: bounded in bytes, but always the one before.
 
-        >>> BlueprintValue(3, b"x", [], [(2, b"y")]).before()
-        [(3, b'x'), (2, b'y')]
+        >>> [ver for ver, _difference in BlueprintValue(3, b"x", [], [(2, b"y")]).before(b"z")]
+        [3, 2]
         """
         kept, size = [], 0
-        for ver, packed in [(self.ver, self.packed), *self.past][:MOST_PAST]:
-            size += len(packed)
+        for ver, difference in [(self.ver, differ(raw, self.raw)), *self.past][:MOST_PAST]:
+            size += len(difference)
             if kept and size > MOST_PAST_BYTES:
                 break
-            kept.append((ver, packed))
+            kept.append((ver, difference))
         return kept if self.ver else []
 
 
@@ -100,7 +101,7 @@
         if ver <= current.ver:
             return Err(mishap("old_generation", f"ver {ver} is not above the current {current.ver}"))
         history = [*current.history, (ver, digest)][-HISTORY:]
-        return Ok(encode(BlueprintValue(ver, packed, history, current.before(), current.undos)))
+        return Ok(encode(BlueprintValue(ver, packed, history, current.before(raw), current.undos)))
     return change
 
 
@@ -119,12 +120,12 @@
             return Err(mishap("stale_match", f"the current generation is {current.ver}, not {wrong}"))
         if not current.past:
             return Err(mishap("nothing_to_undo", f"nothing is kept from before the generation {wrong}"))
-        old, packed = current.past[0]
+        old, difference = current.past[0]
         ver = current.ver + 1
-        raw = json.dumps({**json.loads(unpack_blueprint(packed)), "ver": ver}, separators=(",", ":")).encode()
+        raw = json.dumps({**json.loads(patch(current.raw, difference)), "ver": ver}, separators=(",", ":")).encode()
         history = [*current.history, (ver, digest_of(raw))][-HISTORY:]
         undos = [*current.undos, (wrong, old, ver)][-MOST_UNDOS:]
-        return Ok(encode(BlueprintValue(ver, pack_blueprint(raw), history, current.before(), undos)))
+        return Ok(encode(BlueprintValue(ver, pack_blueprint(raw), history, current.before(raw), undos)))
     return change
 
 
--- a/tests/test_undo.py
+++ b/tests/test_undo.py
@@ -6,7 +6,8 @@
 import pytest
 
 from sumacloom.common.blueprint import decode_blueprint, pack_blueprint, unpack_blueprint
-from sumacloom.courier.board import body_digest
+from sumacloom.courier.board import Board, body_digest
+from sumacloom.courier.messages import News
 from sumacloom.fleet import commands
 from sumacloom.registrar.undo import one_per_node
 from sumacloom.registrar.values import BlueprintValue, decode, encode, put_blueprint, undo_blueprint
@@ -196,3 +197,19 @@
     rows = [{"node": "edge-1", "generation": 0, "why": "gone for 9 s"}, {"node": "edge-1", "generation": 8, "why": ""}]
     assert one_per_node(rows, ["10.0.0.9"]) == [rows[1], {
         "node": "10.0.0.9", "role": "registrar", "generation": 0, "body": "", "restores": 0, "why": "unheard"}]
+
+
+def test_one_changed_route_among_many_travels_as_a_difference_and_a_foreign_base_gets_the_whole():
+    def body(ver, tmo):
+        return msgspec.json.encode({"ver": ver, "svcs": [{"name": "svc"}], "routes": [
+            {"name": f"r{n}", "host": f"h{n}", "svc": "svc", "tmoMs": tmo if n == 700 else 1000} for n in range(1500)]})
+    root, child = Board(), Board()
+    for ver in (3, 7, 9):
+        root.take(News(pack_blueprint(body(ver, ver)), 0, None, None))
+        news = root.news_for(child.digest())
+        assert child.take(news) and child.packed == root.packed
+        assert (len(news.blueprint) < 300) == (ver > 3)
+    late = Board()
+    late.take(News(pack_blueprint(body(2, 2)), 0, None, None))
+    assert not late.take(news) and late.blueprint.ver == 2          # a difference of a body it does not hold
+    assert late.take(root.news_for(late.digest())) and late.packed == root.packed
