--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -37,7 +37,7 @@
         self.effects = []
         self.mishaps = []
         self.warmed_at = -1e9
-        self.lanes, self.unsure = set(), False
+        self.lanes, self.unsure, self.alone = set(), False, False
 
     # ------------------------------------------------------------ news
     def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -233,6 +233,7 @@
             self.floor.spooling.listen([database for _name, database, _state in listeners.rows],
                                        bool(listeners.generation) and not self.member.sure)
             self.member.feed_children()
+            self.floor.alone = self.member.settled and not self.member.sure
             self.member.leaving = self.floor.leaving != "serving"
             upkeep.tick(self.floor, self.now())
             for key in list(self.blocked):
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -18,6 +18,7 @@
 MOST_HELD = 0.9        # and of its time-out
 LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
 HELD_LONG = 0.2        # it is held for this share of its aim only
+HELD_ALONE = 0.04      # and for this one by a counter that hears no settled registrar
 
 def tick(floor: Floor, now: float) -> None:
     """All that is due; the shell calls it some twenty times a second.
@@ -51,10 +52,14 @@
     ground = floor.yard.ground(errand.rule.service)
     headless = ground.headless_since is not None and now - ground.headless_since >= LONG_OUTAGE_S
     held = now - errand.received
-    share = HELD_LONG if headless else HELD_SHARE
+    lost = floor.alone and ground.headless_since is not None      # a new lead may stand where we can't hear of it
+    share = HELD_ALONE if lost else HELD_LONG if headless else HELD_SHARE
     hold = errand.rule.goal_s * share if now >= ground.pending_until else errand.rule.statement_s
     if held >= min(hold, errand.rule.statement_s * MOST_HELD):
+        session = errand.session
         moves.refuse(floor, errand, now)
+        if lost and session.state == "I" and session.errand is None:
+            floor.shut_session(session, now)           # it meets another counter, which may be better placed
 
 
 @stage("setup")
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -452,3 +452,21 @@
     stage.say(2, "QUERY 6 SET tz alex")
     stage.say(2, "QUERY 7 PUT a b")                            # a rollback may have undone the SET: not trusted
     assert stage.take(lead.key) == ["QUERY - RESET", "QUERY - SET tz alex"]
+
+
+@pytest.mark.parametrize("alone", [False, True])
+def test_a_counter_that_hears_nobody_and_has_no_lead_lets_its_clients_go_elsewhere_at_once(alone):
+    """Found on emra-tiles-control scale-2: cut off together with the old primary, three counters held what they
+    could not serve, for a lead that was on the other side."""
+    stage = Stage()
+    lead, _q, _r = stage.warm()
+    stage.floor.alone = alone
+    stage.client(1, "books")
+    stage.say(1, "QUERY 5 PUT a b")
+    stage.answer(lead, "ERR RO p", "READY I 1.10")
+    for _tick in range(3):
+        stage.tick()
+    told = stage.take(1)
+    assert (1 in stage.shut) == alone and bool(told) == alone
+    if alone:
+        assert told[0].startswith("ERR BUSY not run; come back")
