--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -228,6 +228,47 @@
     assert land.offices["10.0.0.1"].settled(land.now)
 
 
+def test_nothing_is_acknowledged_that_no_majority_of_disks_holds():
+    land = Land(7, loss=0.0)
+    land.run(3.0)
+    land.stuck |= {"10.0.0.1", "10.0.0.3"}
+    proposal = land.put("10.0.0.2", 4, 0)
+    land.run(1.2)
+    assert proposal.outcome.err().name == "no_majority"
+    land.stuck.clear()
+    land.run(1.5)
+    again = land.put("10.0.0.2", 4, 0)                        # what may have been taken meanwhile is well again
+    land.run(1.0)
+    assert again.outcome.is_ok()
+
+
+def test_what_was_decided_before_a_change_of_voters_is_held_by_the_new_ones():
+    """The newcomer has learned, then a value is decided without it, then it votes and one of the two holders goes.
+    Mending by news is switched off, so that only the rounds of the change itself can carry the value over."""
+    land = Land(8, loss=0.0)
+    for one in land.offices.values():
+        one.acceptor.mend = lambda *_value: []
+    land.run(3.0)
+    land.seeds = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+    land.start("10.0.0.9")
+    late = land.offices["10.0.0.9"]
+    late.acceptor.mend = lambda *_value: []
+    while not late.acceptor.learned:
+        land.step()
+    land.cut = {frozenset((ip, other)) for ip in ("10.0.0.1", "10.0.0.2") for other in ("10.0.0.3", "10.0.0.9")}
+    proposal = land.put("10.0.0.1", 4, 0)
+    while proposal.outcome is None:
+        land.step()
+    assert proposal.outcome.is_ok() and late.acceptor.slot("blueprint").value is None
+    land.run(0.3)                                             # the other holder knows it to be decided
+    land.cut = set()
+    land.kill("10.0.0.1", disk=False)
+    land.run(6.0)
+    assert {panel.new for panel in land.panels().values()} == {("10.0.0.2", "10.0.0.3", "10.0.0.9")}
+    for ip in ("10.0.0.3", "10.0.0.9"):
+        assert decode(BlueprintValue, land.offices[ip].acceptor.slot("blueprint").value).ver == 4
+
+
 RECORDS = [
     # (payloads, what the start makes of them)
     ([], "learning"),
