--- a/sumacloom/counter/outcomes.py
+++ b/sumacloom/counter/outcomes.py
@@ -13,6 +13,8 @@
 scribe = Scribe("wires")
 NOT_RUN = frozenset({"BUSY", "NOSUCH", "LAGGING", "RO", "WRONGHOST", "MAXCONN"})
 BUSY_PAUSE_S = 0.03
+SHY_S = {"BUSY": 0.1, "FAIL": 1.5}       # how long reads prefer another backend after that answer
+STRUGGLING = frozenset(SHY_S)
 BARRED_S = 0.5
 ANCHOR_SLACK_S = 0.02
 
@@ -171,6 +173,8 @@
         backend.barred_until = now + BARRED_S
     elif code in ("BUSY", "MAXCONN"):
         errand.pause_until = now + BUSY_PAUSE_S
+    if code in STRUGGLING and backend:
+        backend.shy_until = now + SHY_S[code]
     errand.refusal = code
     errand.stage, errand.wire = "waiting", None
     release(floor, wire, now)
@@ -214,9 +218,11 @@
     """
     code = result.code
     again = code in NOT_RUN or (code == "FAIL" and errand.only_reads and errand.sends < MOST_READ_SENDS)
-    if again and now < errand.hold_until:
+    if again and now < errand.hold_until and may_go_again(floor, errand, code, now):
         requeue(floor, errand, code, now)
         return
+    if not code:
+        floor.yard.ground(errand.rule.service).succeeded()
     if not code and errand.statement.sort == "write":
         errand.session.last_commit = result.position or errand.session.last_commit
     wire = errand.wire
@@ -224,6 +230,15 @@
     release(floor, wire, now)
 
 
+def may_go_again(floor, errand, code: str, now: float) -> bool:
+    """Whether the budget of resends admits one more after that answer.
+
+    >>> may_go_again(None, None, "LAGGING", 0.0)
+    True
+    """
+    return code not in STRUGGLING or floor.yard.ground(errand.rule.service).may_resend(now)
+
+
 def transaction_result(floor, errand, result, now: float) -> None:
     """The result of a statement or COMMIT inside a transaction.
 
@@ -232,9 +247,9 @@
     """
     transaction, wire, code = errand.transaction, errand.wire, result.code
     lines = [*result.rows, result.line]
-    if code == "BUSY" and result.state == "T" and now < errand.cutoff:
+    if code == "BUSY" and result.state == "T" and now < errand.cutoff and may_go_again(floor, errand, code, now):
         errand.stage, errand.pause_until = "paused", now + BUSY_PAUSE_S
-    elif code in NOT_RUN and not transaction.ran and now < errand.hold_until:
+    elif code in NOT_RUN and not transaction.ran and now < errand.hold_until and may_go_again(floor, errand, code, now):
         requeue(floor, errand, code, now)
     elif errand.statement.sort == "commit":
         if not code and transaction.mode == "begin":
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -5,8 +5,7 @@
 from ..common.settings import Settings, split_address
 from ..common.types import ORIGIN, Position
 from ..courier.messages import Sighting
-from .anchors import Anchors
-from .rotation import Rotation
+from .ground import Backend, Ground
 from .wire import Wire
 
 scribe = Scribe("yard")
@@ -21,45 +20,6 @@
 MEMBERS_S = 10.0
 
 
-class Backend:
-    """One backend: what its beats say, its wires, and how it has behaved here."""
-
-    __slots__ = (
-        "name", "service", "host", "port", "zone", "region", "phase", "role", "slots", "order", "cold_until",
-        "wires", "idle", "dialing", "backoff", "barred_until", "refused_at", "claimed_at", "closing_at",
-        "tokens", "tokens_at", "dark_since", "crowded_until",
-    )
-
-    def __init__(self, name: str, service: str):
-        self.name, self.service = name, service
-        self.order = (-1, -1)
-        self.wires, self.idle, self.dialing = {}, [], 0
-        self.backoff = self.barred_until = 0.0
-        self.refused_at = -1e9
-        self.claimed_at = -1e9
-        self.closing_at = None
-        self.tokens, self.tokens_at = 1.0, 0.0
-        self.role, self.phase = "replica", "up"
-        self.cold_until = 0.0
-        self.dark_since = None
-        self.crowded_until = -1e9
-
-
-class Ground:
-    """One service: its backends, rotation and anchors."""
-
-    __slots__ = ("name", "backends", "rotation", "anchors", "seeking", "swept_at", "lead_seen", "lead_name", "headless_since", "read_at", "pending_until")
-
-    def __init__(self, name: str, health, turn: float):
-        self.name = name
-        self.backends = {}
-        self.rotation = Rotation(health, turn)
-        self.anchors = Anchors()
-        self.seeking = self.headless_since = None
-        self.swept_at = self.read_at = self.pending_until = -1e9
-        self.lead_seen, self.lead_name = ORIGIN, ""
-
-
 class Yard:
     """All services and backends, as one counter sees them."""
 
@@ -234,7 +194,7 @@
             lacks = replica.position < needed and replica.lag > 0
             busy = len(backend.wires) - len(backend.idle)
             crowded = busy >= max(1, backend.slots)
-            ranked.append((lacks, replica.lag > soft, crowded, far, busy, -replica.position.number, backend.name, backend))
+            ranked.append((lacks, now < backend.shy_until, replica.lag > soft, crowded, far, busy, -replica.position.number, backend.name, backend))
         ranked.sort()
         return [entry[-1] for entry in ranked]
 
--- a/sumacloom/registrar/desk.py
+++ b/sumacloom/registrar/desk.py
@@ -15,7 +15,7 @@
 from .register import Acceptor, Slot
 
 scribe = Scribe("office")
-SPOOL_KINDS = {"spooled": 8, "spent": 4}     # and how long such a record is
+OTHER_KINDS = {"spooled": 8, "spent": 4, "roster": 2}     # not the acceptor's, and how long such a record is
 
 
 def encode(record: tuple) -> bytes:
@@ -59,7 +59,7 @@
     def __init__(self, ledger, prompt: bool = True):
         self.ledger, self.prompt = ledger, prompt
         self.batches: list[Batch] = []
-        self.spooled: list[tuple] = []       # the spool's records, as the ledger had them
+        self.others: list[tuple] = []        # records of the spool and the roster, as the ledger had them
 
     def write(self, payloads: list) -> None:
         """Puts records on their way to the disk.
@@ -74,7 +74,7 @@
             self.batches.append(batch)
 
     def write_records(self, records: list[tuple]) -> None:
-        """Puts records of the spool on their way to the disk.
+        """Puts records of the spool or the roster on their way to the disk.
 
         >>> Desk.write_records.__name__
         'write_records'
@@ -165,10 +165,10 @@
     return msgspec.convert(found, Panel)
 
 
-def open_acceptor(payloads: list[bytes], spooled: list | None = None):
+def open_acceptor(payloads: list[bytes], others: list | None = None):
     """The acceptor as the ledger left it, unlearned where there is no meta record; Err for foreign records.
 
-    The records of the spool go to `spooled`.
+    Records of the spool and the roster go to `others`.
 
     >>> open_acceptor([]).ok().learned, open_acceptor([b"nonsense"]).err().name
     (False, 'ledger_foreign')
@@ -177,8 +177,8 @@
     for payload in payloads:
         try:
             found = msgspec.msgpack.decode(payload)
-            if found[0] in SPOOL_KINDS and len(found) == SPOOL_KINDS[found[0]]:
-                spooled is None or spooled.append(tuple(found))
+            if found[0] in OTHER_KINDS and len(found) == OTHER_KINDS[found[0]]:
+                others is None or others.append(tuple(found))
             else:
                 take_record(acceptor, *found)
         except (msgspec.MsgspecError, TypeError, ValueError, LookupError) as error:
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -24,6 +24,7 @@
 WHOLE_S = 1.0
 FINISH_S = 0.6
 ASK_S = 0.3
+KEEP_ROSTER_S = 1.0
 
 class Office:
     """One registrar."""
@@ -54,7 +55,9 @@
         self.told_state = None
         self.told_suspects: set[str] = set()
         self.acceptor = self.open_acceptor()
-        self.spool = Spool(self, self.desk.spooled, now)
+        self.spool = Spool(self, self.desk.others, now)
+        self.roster.load(self.desk.others, now)
+        self.kept_roster, self.kept_at = self.board.known_digest, now
         self.started_at = now
 
     # ------------------------------------------------------------ disk
@@ -65,7 +68,7 @@
         'open_acceptor'
         """
         ledger = self.desk.ledger
-        opened = desk.open_acceptor(ledger.payloads, self.desk.spooled)
+        opened = desk.open_acceptor(ledger.payloads, self.desk.others)
         if opened.is_err():
             raise desk.ForeignLedger(opened.err())
         acceptor = opened.ok()
@@ -111,7 +114,17 @@
         >>> Office.whole.__name__
         'whole'
         """
-        return [*map(desk.encode, self.spool.records()), *desk.whole(self.acceptor)]
+        return [*map(desk.encode, [*self.spool.records(), self.roster.record()]), *desk.whole(self.acceptor)]
+
+    def keep_roster(self, now: float) -> None:
+        """Keeps the backends on disk, so that after a loss of all power they need not be learned from beats.
+
+        >>> Office.keep_roster.__name__
+        'keep_roster'
+        """
+        if self.board.known_digest != self.kept_roster and now - self.kept_at >= KEEP_ROSTER_S:
+            self.kept_roster, self.kept_at = self.board.known_digest, now
+            self.desk.write_records([self.roster.record()])
 
     def capture_if_full(self) -> None:
         """Writes a capture when the segment is full and the disk is ours alone.
@@ -359,6 +372,7 @@
             lanes.mind_lanes(self, now)
             listeners.mind_listeners(self, now)
         mind_spool(self, now)
+        self.keep_roster(now)
 
     def settled(self, now: float) -> bool:
         """Whether we hear a majority, and lack nothing that is decided as far as it tells.
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -43,6 +43,27 @@
         self.probed: dict[str, float] = {}         # backend: since when our probes fail
         self.sighted: dict[str, tuple] = {}        # replica: (seen at, position, told here first)
         self.peer_dark: dict[str, dict] = {}       # peer: {backend: since when, on our clock}
+        self.loaded: dict[str, float] = {}         # known only from our disk so far, since when
+
+    def record(self) -> tuple:
+        """The backends that are there, as the ledger keeps them.
+
+        >>> Roster(Board()).record()
+        ('roster', [])
+        """
+        return ("roster", [record for record in self.board.records.values() if record.phase != "gone"])
+
+    def load(self, others: list[tuple], now: float) -> None:
+        """Takes the backends that the ledger knew last; each LOGIN names its id, so an old one does no harm.
+
+        >>> roster = Roster(Board()); roster.load([("roster", [["i", "s", "10.0.0.1:80", "z"]])], 0.0); list(roster.board.records)
+        ['i']
+        """
+        kept = [found[1] for found in others if found[0] == "roster"]
+        for record in msgspec.convert(kept[-1], list[Record]) if kept else []:
+            self.board.records[record.name] = record
+            self.loaded[record.name] = now
+        self.board.forget(())
 
     def beat(self, name: str, body: bytes, now: float) -> Result:
         """A backend's beat; Ok(records) that changed by it, Ok(None) if none did.
@@ -203,6 +224,7 @@
         {'i': 500}
         """
         self.heard_at[name], self.heard_told[name] = heard, now
+        self.loaded.pop(name, None)
 
     def heard_ages(self, since: float, now: float) -> dict[str, int]:
         """For the peers: how long ago backends were heard, in ms; only what came in after a moment.
@@ -255,6 +277,6 @@
                            and self.board.records[name].phase == "gone"])
         silent = [
             name for name, record in self.board.records.items()
-            if record.phase != "gone" and now - self.heard_at.get(name, now) > SILENT_S
+            if record.phase != "gone" and now - self.heard_at.get(name, self.loaded.get(name, now)) > SILENT_S
         ]
         return [record for record in (self.leave(name, now) for name in silent) if record]
--- a/sumacloom/registrar/spool.py
+++ b/sumacloom/registrar/spool.py
@@ -36,7 +36,7 @@
 
     def __init__(self, office, records: list, now: float):
         self.office, self.entries, self.appended_at = office, {}, {}
-        for kind, *rest in records:
+        for kind, *rest in [found for found in records if found[0] in ("spooled", "spent")]:
             key, rest = tuple(rest[:3]), rest[3:]
             if kind == "spooled":
                 self.entries[key] = Entry(*rest, now)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -127,6 +127,23 @@
     assert fleet.decide("10.0.0.2", blueprint_change(6, 4)).is_ok()
 
 
+def test_after_a_loss_of_all_power_the_backends_are_known_before_they_beat(tmp_path):
+    """Found on inc-ecfe: after the closing fault counters waited up to a second for backends' beats."""
+    fleet = Fleet(tmp_path)
+    fleet.run(1.5)
+    one = fleet.offices["10.0.0.1"]
+    one.tell_records(one.roster.beat("i-1", beat(7, role="primary"), fleet.now).ok(), fleet.now)
+    fleet.run(2.0)
+    for ip in list(fleet.offices):
+        fleet.restart(ip)
+    assert [one.board.records["i-1"].role for one in fleet.offices.values()] == ["primary"] * 3
+    one = fleet.offices["10.0.0.1"]
+    assert one.roster.beat("i-1", beat(1), fleet.now).ok()[0].role == "replica"      # a backend that began anew
+    fleet.run(40.0)
+    assert all(other.board.records.get("i-1", None) is None or other.board.records["i-1"].phase == "gone"
+               for other in fleet.offices.values())                                  # silent, it does not stay for ever
+
+
 def test_news_crosses_a_bridge_cut_by_the_third(tmp_path):
     fleet = Fleet(tmp_path)
     fleet.run(1.5)
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -470,3 +470,32 @@
     assert (1 in stage.shut) == alone and bool(told) == alone
     if alone:
         assert told[0].startswith("ERR BUSY not run; come back")
+
+
+def test_resends_to_a_struggling_service_are_bounded_and_what_has_none_left_is_told_at_once():
+    stage = Stage()
+    lead, _q, _r = stage.warm()
+    sent = 0
+    for key in range(1, 9):
+        stage.client(key, "books")
+        stage.say(key, f"QUERY {key} PUT a b")
+        for _try in range(25):
+            if f"QUERY {key} PUT a b" in stage.take(lead.key):
+                sent += 1
+                stage.answer(lead, "ERR BUSY x", "READY I 1.10")
+            stage.tick()
+        assert stage.take(key)[0].startswith("ERR BUSY")
+    assert 20 <= sent <= 8 + 20 + 50                      # one each, the budget, and what ten seconds add to it
+
+
+@pytest.mark.parametrize("code", ["BUSY", "FAIL"])
+def test_a_replica_that_sheds_or_fails_reads_behind_a_good_health_answer_is_asked_last(code):
+    stage = Stage()
+    _lead, near, far = stage.warm()
+    stage.client(1, "search")
+    stage.say(1, "QUERY 5 FETCH a")
+    stage.anchor(stage.wires("p")[0])
+    assert "FETCH a" in stage.take(near.key)[0]
+    stage.answer(near, f"ERR {code} x", "READY I 1.10")
+    stage.tick(0.04)
+    assert "FETCH a" in stage.take(far.key)[0]
