--- a/tests/standins.py
+++ b/tests/standins.py
@@ -319,6 +319,29 @@
             raise SystemExit("trial: a command failed")
     if await fleet("lane", "set", "books") or await fleet("lanes") or await fleet("lane", "clear"):
         raise SystemExit("trial: the lane did not come into force")
+    wrong_way = {**BLUEPRINT, "ver": 5, "svcs": [*BLUEPRINT["svcs"], {"name": "elsewhere"}],
+                 "routes": [{**BLUEPRINT["routes"][0], "svc": "elsewhere"}, BLUEPRINT["routes"][1]]}
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(wrong_way, file)
+    if await fleet("blueprint", "put", path) or "BUSY" not in str(await talk(1, "books", "PUT a lost")):
+        raise SystemExit("trial: the edit did not misdirect writes")
+    if await fleet("undo", "--generation", "5") or await fleet("generations") or not await served():
+        raise SystemExit("trial: the edit was not undone")
+    items = os.path.join(folder, "items")
+    listening = await curio.spawn(fleet, "listen", "desk", "books", "--into", items, "--count", "2", "--seconds", "30")
+
+    async def listens():
+        return "listening" in str(await curio.run_in_thread(lambda: subprocess.run(
+            [sys.executable, "-m", "sumacloom", "fleet", "listeners", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT,
+            capture_output=True, timeout=60).stdout))
+    await until("the desk listens", listens)
+    await talk(3, "books", "PUT a seven", "BEGIN", "PUT a eight", "PUT b nine", "COMMIT")
+    if await listening.join() or await fleet("listeners", "--nodes"):
+        raise SystemExit("trial: the listener did not get its items, or the lists differ")
+    with open(items, encoding="utf-8") as file:
+        taken = [json.loads(line)["text"] for line in file]
+    if taken != ["PUT a seven", "PUT a eight\nPUT b nine"]:
+        raise SystemExit(f"trial: the listener took {taken}")
     await service.backends[0].die()
     await until("writes are served after the primary died", served)
     processes["registrar-1"].kill()
