--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -347,7 +347,9 @@
             self.conclude(proposal, now)
         if not self.acceptor.learned and now - self.asked_at >= ASK_S:
             self.asked_at = now
-            if self.barrier == NO_BALLOT or self.tales:    # another barrier: some had promised above the last one
+            above = any(Ballot(*promised) > self.barrier for told in self.tales.values()
+                        for promised in (told.floor, *(slot[1] for slot in told.slots)))
+            if self.barrier == NO_BALLOT or above:         # another barrier: some had promised above the last one
                 self.barrier, self.tales = self.ballots.next(), {}
             self.tell_all(Tell(self.barrier))
         if now - self.beaten_at >= PEER_BEAT_S:
--- a/sumacloom/registrar/spool.py
+++ b/sumacloom/registrar/spool.py
@@ -201,9 +201,12 @@
     """
     spool, key = office.spool, place_of(message)
     if not listeners.feed_of(office, message.database).has(message.life, message.number):
+        held = spool.entries.get(key)
         entry = spool.entries.setdefault(key, Entry(message.node, message.text, "", True, now))
+        fresh = held is None or (message.kind and message.kind != held.kind)
         entry.kind, entry.since = message.kind or entry.kind, now
-        spool.write(key, entry)
+        if fresh:                            # asked again, it is on its way to the disk already
+            spool.write(key, entry)
     office.release(peer, SpareHeld(message.life, message.number, message.database))
 
 
