Access rules by region: one list, one verdict, enforced by every counter under a confirmed lease

Cause: nothing said which regions may reach which databases, and any caller was served anywhere. Done: an access list on a register of its own, offered and then in force (the lanes' rollout, now one module); leases from stamps confirmed by readings at a majority; verdicts and counts in the counter's gate; admin calls, fleet access, docs/access.md. Unused, it adds three bytes to a beat and nothing else. Ruled out: waiting for members by name (a cut-off registrar answers for its counters longer than they are remembered). Taken out one by one, the lease, the wait before force, the reading's start and the counting each fail tests/test_access.py.

--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -12,6 +12,7 @@
 from ..common.settings import Settings
 from . import losses, moves, outcomes
 from .errand import Errand
+from .gate import LOGIN, Gate
 from .rules import compile_rules
 from .session import Session, decode, wire_text
 from .spooling import Spooling, holds_back, judge
@@ -38,6 +39,7 @@
         self.mishaps = []
         self.warmed_at = -1e9
         self.lanes, self.unsure, self.alone = set(), False, False
+        self.gate = Gate()
 
     # ------------------------------------------------------------ news
     def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
@@ -104,12 +106,12 @@
                 self.shut_session(session, now)
 
     # ------------------------------------------------------------ sessions
-    def session_opened(self, key, now: float) -> None:
+    def session_opened(self, key, now: float, address: str = "") -> None:
         """A client connected.
 
         >>> Floor(Settings("n", "r", "10.0.0.1", "z")).session_opened(1, 0.0)
         """
-        self.sessions[key] = Session(key, now)
+        self.sessions[key] = Session(key, now, address)
 
     def session_data(self, key, data: bytes, now: float) -> None:
         """Bytes of a client.
@@ -151,6 +153,8 @@
             self.send(session, "ERR MALFORMED a session starts with LOGIN")
         elif self.rules is None:
             self.send(session, "ERR BUSY this counter has no blueprint yet")
+        elif denial := self.gate.denies(session, words[1], LOGIN):
+            self.send(session, denial)
         elif words[1] not in self.rules:
             self.send(session, "ERR NODB there is no such database")
         else:
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -6,6 +6,7 @@
 from ..courier.board import Board
 from ..courier.links import Link, accept_all, dial, listen, tune
 from ..courier.messages import Digest, Follow, Held, Hello, MemberBeat, News, Noted, Pending, RegistrarBeat
+from .gate import Lease
 
 scribe = Scribe("member")
 BEAT_S = 0.35
@@ -37,7 +38,7 @@
         self.started_at = clock()
         self.sure_at = None          # when a registrar that lacks nothing last spoke to us
         self.behind_since = None
-        self.attached = ""
+        self.attached, self.lease = "", Lease()
         self.unsettled_since, self.patience = None, UNSETTLED_S
 
     @property
@@ -96,7 +97,7 @@
             now = self.clock()
             sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
             self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None,
-                                         self.leaving))
+                                         self.leaving, None if self.lease.until is None else now))
 
     def say(self, message) -> None:
         """A message for the registrar; without a session it is dropped, and said again later.
@@ -252,6 +253,7 @@
             self.settled = self.settled or self.clock() - self.started_at > SETTLE_S
             self.registrars = list(dict.fromkeys([*message.registrars, *self.registrars]))[:9]
             self.yard.take_sightings(message.positions, self.clock())
+            self.lease.hear(message.digest.access, self.board.access.order, message.confirmed, self.clock())
             if message.settled:
                 self.sure_at = self.clock()
                 self.unsettled_since, self.patience = None, UNSETTLED_S
--- a/sumacloom/counter/report.py
+++ b/sumacloom/counter/report.py
@@ -17,6 +17,7 @@
         "lanes": ",".join(sorted(floor.lanes)), "lanes_held": digest.lanes, "listeners": digest.listeners,
         "listeners_digest": list_digest(member.board.listeners), "unnoted": len(floor.spooling.unnoted),
          "parent": member.parent_address or "registrar",
+        "access": floor.gate.access.generation if floor.gate.access else 0, "access_held": digest.access,
         "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
         "wires": len(floor.wires),
     }
@@ -33,4 +34,4 @@
         for ground in yard.grounds.values() for backend in ground.backends.values()
         for replica in [ground.rotation.replicas.get(backend.name)]
     ]
-    return {"counter": counter, "rotation": rotation}
+    return {"counter": counter, "rotation": rotation, "access": floor.gate.rows(settings.node)}
--- a/sumacloom/counter/session.py
+++ b/sumacloom/counter/session.py
@@ -43,11 +43,12 @@
 
     __slots__ = (
         "key", "splitter", "database", "values", "names", "transaction", "errand", "waiting",
-        "last_commit", "opened_at", "closed",
+        "last_commit", "opened_at", "closed", "address", "region",
     )
 
-    def __init__(self, key: int, now: float):
-        self.key = key
+    def __init__(self, key: int, now: float, address: str = ""):
+        self.key, self.address = key, address
+        self.region = None           # (generation of the access list, region), once looked up
         self.splitter = LineSplitter()
         self.database = None
         self.values, self.names = {}, {}
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -11,7 +11,7 @@
 from ..courier.board import Board
 from ..courier.messages import Held
 from ..courier.links import Outlet, accept_all, dial, kept, listen, tune
-from . import losses, outcomes, spooling, upkeep
+from . import gate, losses, outcomes, spooling, upkeep
 from .floor import Floor
 from .member import Member
 from .report import report_of
@@ -22,6 +22,18 @@
 MOST_WAITING = 16
 
 
+def caller_of(sock) -> str:
+    """The address of the far end; empty once it is gone.
+
+    >>> caller_of(None)
+    ''
+    """
+    try:
+        return sock._socket.getpeername()[0]
+    except (OSError, AttributeError):
+        return ""
+
+
 class Shell:
     """One running counter."""
 
@@ -159,7 +171,7 @@
         tune(sock._socket, 10_000)
         async with sock:
             self.outlets[key] = Outlet(sock)
-            floor.session_opened(key, self.now())
+            floor.session_opened(key, self.now(), caller_of(sock))
             session = floor.sessions[key]
             try:
                 while True:
@@ -228,7 +240,10 @@
                 self.floor.yard.count_members(self.member.members, self.now())
             lanes = self.member.board.lanes
             guarded = bool(self.floor.blueprint and self.floor.blueprint.limits.guarded)
-            self.floor.take_lanes(lanes.databases, self.member.sure, bool(lanes.order) or guarded, self.now())
+            access, now = self.member.board.access, self.now()
+            lapsed = not self.member.lease.held(now)
+            gate.take_access(self.floor, access, lapsed, now)
+            self.floor.take_lanes(lanes.databases, self.member.sure and not lapsed, bool(lanes.order) or guarded or lapsed, now)
             listeners = self.member.board.listeners
             self.floor.spooling.listen([database for _name, database, _state in listeners.rows],
                                        bool(listeners.generation) and not self.member.sure)
--- a/sumacloom/counter/verbs.py
+++ b/sumacloom/counter/verbs.py
@@ -1,5 +1,6 @@
 """What each sort of statement does; all but reads, writes and COMMIT are answered here."""
 from . import moves
+from .gate import REQUEST
 from .session import MOST_VALUES, Session, Transaction
 
 SORTS = {}
@@ -25,6 +26,9 @@
     True
     """
     transaction = session.transaction
+    if transaction is None and (denial := floor.gate.denies(session, session.database, REQUEST)):
+        floor.reply(session, [denial], now)
+        return
     plan = ""
     if transaction:
         plan = transaction.rule.plans["begin_read" if transaction.mode == "begin_read" else "begin"]
@@ -41,6 +45,8 @@
     rule = floor.rules.get(session.database)
     if session.transaction:
         floor.reply(session, ["ERR MALFORMED a transaction is open"], now)
+    elif denial := floor.gate.denies(session, session.database, REQUEST):
+        floor.reply(session, [denial], now)
     elif rule is None:
         floor.reply(session, ["ERR NODB the database is no longer there"], now)
     else:
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -3,7 +3,7 @@
 
 from ..common.blueprint import PACK_FROM, Blueprint, decode_blueprint, pack_blueprint, unpack_blueprint
 from ..common.differences import MARK, differ, patch
-from .messages import Digest, LaneNews, ListenNews, News, Record, digest_records
+from .messages import AccessNews, Digest, LaneNews, ListenNews, News, PoolNews, Record, digest_records
 
 
 MOST_PAST = 4
@@ -33,7 +33,7 @@
     >>> board = Board(); board.take(News(b'{"ver": 3}', 1, ["z"], []))
     True
     >>> board.digest()
-    Digest(blueprint=3, evacuations=1, records=0, lanes=0, listeners=0)
+    Digest(blueprint=3, evacuations=1, records=0, lanes=0, listeners=0, access=0, pooling=0)
     """
 
     def __init__(self):
@@ -47,15 +47,17 @@
         self.known_digest = 0
         self.lanes = LaneNews(0, [], [])
         self.listeners = ListenNews(0, [])
+        self.access = AccessNews(0, 0, b"")
+        self.pooling, self.pool_rows = 0, {}
 
     def digest(self) -> Digest:
         """What this board holds.
 
         >>> Board().digest()
-        Digest(blueprint=0, evacuations=0, records=0, lanes=0, listeners=0)
+        Digest(blueprint=0, evacuations=0, records=0, lanes=0, listeners=0, access=0, pooling=0)
         """
         return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest,
-                      self.lanes.order, self.listeners.generation)
+                      self.lanes.order, self.listeners.generation, self.access.order, self.pooling)
 
     def take(self, news: News) -> bool:
         """Takes what is newer; tells whether anything was.
@@ -72,6 +74,10 @@
             self.lanes, changed = news.lanes, True
         if news.listeners is not None and news.listeners.generation > self.listeners.generation:
             self.listeners, changed = news.listeners, True
+        if news.access is not None and news.access.order > self.access.order:
+            self.access, changed = news.access, True
+        if news.pooling is not None and self.take_pooling(news.pooling):
+            changed = True
         newer = [record for record in news.records or () if self.newer(record)]
         if newer:
             self.records.update((record.name, record) for record in newer)
@@ -111,6 +117,26 @@
                 unpack_blueprint(old), unpack_blueprint(self.packed)) if shorter else self.packed
         return min(self.differences[ver], self.packed, key=len)
 
+    def take_pooling(self, news: PoolNews) -> bool:
+        """Takes judgements of pool modes that follow on ours; others are asked for again by the digest.
+
+        >>> board = Board(); board.take_pooling(PoolNews(4, 3, [])), board.take_pooling(PoolNews(4, 0, []))
+        (False, True)
+        """
+        if news.generation <= self.pooling or news.base > self.pooling:
+            return False
+        self.pool_rows.update((row.database, row) for row in news.rows if row.since > self.pooling)
+        self.pooling = news.generation
+        return True
+
+    def pool_news(self, generation: int) -> PoolNews:
+        """What changed in the pool modes after a generation.
+
+        >>> Board().pool_news(0)
+        PoolNews(generation=0, base=0, rows=[])
+        """
+        return PoolNews(self.pooling, generation, [row for row in self.pool_rows.values() if row.since > generation])
+
     def newer(self, record: Record) -> bool:
         """Whether a record is newer than the one held.
 
@@ -145,6 +171,9 @@
             list(self.records.values()) if mine.records != held.records else None,
             self.lanes if mine.lanes > held.lanes else None,
             self.listeners if mine.listeners > held.listeners else None,
+            self.access if mine.access > held.access else None,
+            self.pool_news(held.pooling) if mine.pooling > held.pooling else None,
         )
-        told = news.blueprint or news.zones is not None or news.records or news.lanes or news.listeners
+        told = (news.blueprint or news.zones is not None or news.records or news.lanes or news.listeners or news.access
+                or news.pooling)
         return news if told else None
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -48,6 +48,8 @@
     records: int = 0
     lanes: int = 0
     listeners: int = 0
+    access: int = 0
+    pooling: int = 0
 
 
 class Sighting(msgspec.Struct, array_like=True, frozen=True):
@@ -84,6 +86,8 @@
     positions: list[Sighting] = []
     report: dict | None = None
     leaving: bool = False        # it is being stopped: its end is no loss
+    stamp: float | None = None   # the sender's own clock, to be confirmed where an access list is in use
+    minds: list[tuple[str, str, str]] = []   # changes of mind about pool modes: database, who (or nothing), mode
 
 
 class RegistrarBeat(Message):
@@ -97,6 +101,7 @@
     want_report: bool = False
     log_level: str = ""
     settled: bool = True         # whether this registrar hears a majority and lacks nothing decided
+    confirmed: float | None = None   # the newest stamp older than a reading of the access list at a majority
 
 
 class Follow(Message):
@@ -113,6 +118,34 @@
     offered: list[str]
 
 
+class AccessNews(msgspec.Struct, array_like=True, frozen=True):
+    """The access list: which is in force, and which is offered or in force next."""
+
+    order: int                   # twice the generation, and one more once in force
+    generation: int              # of the list in force; 0: none ever was
+    body: bytes                  # the list in force, packed
+    offered: bytes = b""         # what comes into force next, packed
+
+
+class PoolRow(msgspec.Struct, array_like=True, frozen=True):
+    """How the sessions of one database may share connections."""
+
+    database: str
+    mode: str                    # statement transaction
+    pinned: bool = False         # set by an operator: not judged
+    exceptions: list[str] = []   # who is in transaction mode all the same
+    since: int = 0               # the generation in which this row last changed
+    strikes: int = 0             # how often a judgement was taken back
+
+
+class PoolNews(msgspec.Struct, array_like=True, frozen=True):
+    """What was judged of late: the rows that the receiver lacks."""
+
+    generation: int
+    base: int                    # the rows are all that changed after this generation
+    rows: list[PoolRow]
+
+
 class ListenNews(msgspec.Struct, array_like=True, frozen=True):
     """Who listens: the whole list, with its generation."""
 
@@ -129,6 +162,8 @@
     records: list[Record] | None
     lanes: LaneNews | None = None
     listeners: ListenNews | None = None
+    access: AccessNews | None = None
+    pooling: PoolNews | None = None
 
 
 class PeerBeat(Message):
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 from ..common.results import Err, Ok, Result, mishap
-from . import client
+from . import access, client
 from .calls import ask, finish, print_rows, table
 from .orders import listen, listeners, undo, unlisten
 from .tables import query as run_query
@@ -123,7 +123,7 @@
 
 
 def query(text: str, *, at: str = "", json: bool = False) -> int:
-    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations, listeners, listening.
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations, listeners, listening, access.
 
     :param text: the query, in one argument
     :param at: registrars to ask, IP:PORT,IP:PORT
@@ -252,5 +252,6 @@
 COMMANDS = {
     "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
     "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put}, "undo": undo,
+    "access": {"set": access.set_list, "show": access.show, "check": access.check, "counts": access.counts},
     "listen": listen, "unlisten": unlisten, "listeners": listeners,
 }
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -11,7 +11,7 @@
 from ..common.results import mishap
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
-from . import duties, lanes, listening, undo, voters
+from . import access_calls, duties, lanes, listening, undo, voters  # noqa: F401  (access_calls serves calls)
 from .ctl import serves
 from .values import decode
 
@@ -20,7 +20,7 @@
 COUNTERS_S = 0.25
 STEP_S = 0.02
 TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones",
-          "lanes", "generations", "listeners", "listening")
+          "lanes", "generations", "listeners", "listening", "access")
 
 
 async def own_part(shell) -> dict:
@@ -59,6 +59,7 @@
         "counters": [report["counter"] for report in reports],
         "listening": listening.node_rows(office, node, reports),
         "generations": undo.own_rows(office, node, reports, list(office.members.sessions), now),
+        "access": [row for report in reports for row in report.get("access", [])],
         "rotation": [row for report in reports for row in report["rotation"]],
     }
 
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -9,7 +9,7 @@
 from ..common.types import NO_BALLOT, Ballot
 from ..courier.board import Board
 from ..courier.messages import Decided, Panel, PeerBeat, Prepare, Tell
-from . import desk, duties, lanes, listeners, taking, voters
+from . import access, desk, duties, lanes, listeners, taking, voters
 from .desk import Desk
 from .hearing import HEARERS, KNOWN_S
 from .register import Ballots, Proposal
@@ -37,7 +37,7 @@
         self.random = random
         self.board = Board()
         self.roster, self.members = Roster(self.board), Members()
-        self.lanes_at = now
+        self.lanes_at, self.readings = now, access.Readings(now)
         self.seeds = [split_address(seed)[0] for seed in settings.seeds]
         self.ballots = Ballots(self.me, self.nonce, random)
         self.decided: dict[str, tuple] = {}
@@ -372,6 +372,7 @@
         if self.votes and "failover" in self.settings.cloud.jobs:
             duties.mind_duty(self, now)
             lanes.mind_lanes(self, now)
+            access.mind_access(self, now)
             listeners.mind_listeners(self, now)
         mind_spool(self, now)
         self.keep_roster(now)
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -12,6 +12,7 @@
 from ..courier.messages import Follow, Hello, Intent, MemberBeat, Pending, RegistrarBeat, Verdict
 from ..ledger.log import Ledger
 from . import admin, ctl, voters
+from .access import Stamps
 from .caretaker import mind_backends
 from .spool import take_intent, take_verdict
 from .office import Office
@@ -190,7 +191,7 @@
         """
         tune(sock._socket)
         link = Link(sock)
-        link.parent, link.shared_at, link.leaving = "", 0.0, False
+        link.parent, link.shared_at, link.leaving, link.stamps = "", 0.0, False, Stamps()
         link.report, link.reported_at = None, -1e9
         try:
             async for message in link.messages():
@@ -236,6 +237,7 @@
         if not isinstance(message, MemberBeat):
             return
         link.leaving = message.leaving
+        link.stamps.hear(message.stamp, now)
         office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes,
                             message.digest.listeners, link.peer.life)
         self.counters[node] = link
@@ -264,7 +266,7 @@
         link.shared_at = now
         link.send(RegistrarBeat(
             office.board.digest(), members, link.parent, registrars, sightings, want_report, level,
-            office.settled(now)))
+            office.settled(now), link.stamps.confirmed(office.readings.read_at)))
 
     def announce(self, message: Pending) -> None:
         """Passes word of a coming lead to the counters in session here.
--- a/sumacloom/registrar/taking.py
+++ b/sumacloom/registrar/taking.py
@@ -1,7 +1,7 @@
 """What a registrar does with a decided value, key by key."""
 from ..common.logs import Scribe
 from ..courier.messages import News, Panel
-from . import duties, lanes, listeners, voters
+from . import access, duties, lanes, listeners, voters
 from .feed import Feed
 from .values import BlueprintValue, DutyValue, EvacuationsValue, decode
 
@@ -93,7 +93,20 @@
     office.lanes_at = now
     if office.board.take(News(None, 0, None, None, found.news())):
         stage = "in force" if found.in_force else "offered"
-        scribe.say("the lanes %d are %s: %s", found.generation, stage, ", ".join(found.databases) or "none")
+        scribe.say("the lanes %d are %s: %s", found.generation, stage, ", ".join(found.wanted) or "none")
+
+
+@takes(access.KEY)
+def take_access(office, value: bytes, now: float) -> None:
+    """An access list is offered or in force.
+
+    >>> TAKERS[access.KEY] is take_access
+    True
+    """
+    found = decode(access.AccessValue, value)
+    if office.board.take(News(None, 0, None, None, access=found.news())):
+        office.readings.offered_at = now
+        scribe.say("the access list %d is %s", found.generation, "in force" if found.in_force else "offered")
 
 
 @takes(listeners.KEY)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -258,110 +258,6 @@
                             env={**os.environ, "SUMACLOOM_NODE_FILE": path})
 
 
-async def talk(number: int, database: str, *texts: str) -> list[str]:
-    """A client's session with a counter: every line of its replies."""
-    lines = []
-    try:
-        async with curio.timeout_after(5.0):
-            sock = await dial(f"127.0.0.{10 + number}", FE)
-            async with sock:
-                splitter = LineSplitter()
-                for place, text in enumerate([f"LOGIN {database} someone", *texts]):
-                    await sock.sendall(encode(text if place == 0 else f"QUERY q{place} {text}"))
-                    got = []
-                    while not any(line.startswith("READY") for line in got):
-                        data = await sock.recv(65536)
-                        if not data:
-                            return lines + got + ["(closed)"]
-                        got += splitter.feed(data)
-                    lines += got
-    except (OSError, curio.TaskTimeout) as error:
-        lines.append(f"({type(error).__name__})")
-    return lines
-
-
-async def until(what: str, check, seconds: float = 20.0):
-    """Waits for something to be so."""
-    started = time.monotonic()
-    while not await check():
-        if time.monotonic() - started > seconds:
-            raise SystemExit(f"trial: {what} did not come about in {seconds:.0f} s")
-        await curio.sleep(0.1)
-    print(f"trial: {what} after {time.monotonic() - started:.1f} s", flush=True)
-
-
-async def fleet(*arguments: str) -> int:
-    """Runs `sumacloom fleet` as a person would."""
-    process = await curio.run_in_thread(lambda: subprocess.run(
-        [sys.executable, "-m", "sumacloom", "fleet", *arguments], cwd=ROOT, timeout=60,
-        env={**os.environ, "SUMACLOOM_REGISTRARS": f"127.0.0.1:{CTL},127.0.0.2:{CTL}"}))
-    return process.returncode
-
-
-async def trial(service: Service, processes: dict, folder: str):
-    """A short day."""
-    path = os.path.join(folder, "blueprint.json")
-    with open(path, "w", encoding="utf-8") as file:
-        json.dump(BLUEPRINT, file)
-
-    async def served():
-        return (await talk(1, "books", "PUT a one"))[-2:-1] != [] and "DONE" in str(await talk(2, "books", "PUT a two"))
-
-    async def put():
-        return await fleet("blueprint", "put", path) == 0
-    await until("the blueprint is taken", put)
-    await until("writes are served", served)
-    print("\n".join(await talk(3, "search", "FETCH a")))
-    for command in (["status"], ["backends"], ["members"], ["rotation"], ["duties"],
-                    ["query", "SELECT zone, count(*) AS backends FROM backends GROUP BY zone"]):
-        print(f"$ sumacloom fleet {' '.join(command)}", flush=True)
-        if await fleet(*command):
-            raise SystemExit("trial: a command failed")
-    if await fleet("lane", "set", "books") or await fleet("lanes") or await fleet("lane", "clear"):
-        raise SystemExit("trial: the lane did not come into force")
-    wrong_way = {**BLUEPRINT, "ver": 5, "svcs": [*BLUEPRINT["svcs"], {"name": "elsewhere"}],
-                 "routes": [{**BLUEPRINT["routes"][0], "svc": "elsewhere"}, BLUEPRINT["routes"][1]]}
-    with open(path, "w", encoding="utf-8") as file:
-        json.dump(wrong_way, file)
-    if await fleet("blueprint", "put", path) or "BUSY" not in str(await talk(1, "books", "PUT a lost")):
-        raise SystemExit("trial: the edit did not misdirect writes")
-    if await fleet("undo", "--generation", "5") or await fleet("generations") or not await served():
-        raise SystemExit("trial: the edit was not undone")
-    items = os.path.join(folder, "items")
-    listening = await curio.spawn(fleet, "listen", "desk", "books", "--into", items, "--count", "2", "--seconds", "30")
-
-    async def listens():
-        return "listening" in str(await curio.run_in_thread(lambda: subprocess.run(
-            [sys.executable, "-m", "sumacloom", "fleet", "listeners", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT,
-            capture_output=True, timeout=60).stdout))
-    await until("the desk listens", listens)
-    await talk(3, "books", "PUT a seven", "BEGIN", "PUT a eight", "PUT b nine", "COMMIT")
-    if await listening.join() or await fleet("listeners", "--nodes"):
-        raise SystemExit("trial: the listener did not get its items, or the lists differ")
-    with open(items, encoding="utf-8") as file:
-        taken = [json.loads(line)["text"] for line in file]
-    if taken != ["PUT a seven", "PUT a eight\nPUT b nine"]:
-        raise SystemExit(f"trial: the listener took {taken}")
-    await service.backends[0].die()
-    await until("writes are served after the primary died", served)
-    processes["registrar-1"].kill()
-    processes["registrar-1"].wait()
-    await fleet("evacuate", "zone-b")
-    await fleet("status")
-    await fleet("restore", "zone-b")
-    wrong = await fleet("evacuate", "zone-x"), await fleet("query", "DROP TABLE members"), await fleet("log-level", "loud")
-    if 0 in wrong:
-        raise SystemExit("trial: a wrong command ended well")
-    processes["registrar-1"] = start(folder, "registrar", 1)
-
-    async def whole():
-        process = await curio.run_in_thread(lambda: subprocess.run(
-            [sys.executable, "-m", "sumacloom", "fleet", "query", "SELECT count(*) AS n FROM registrars WHERE votes",
-             "--json", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT, capture_output=True, timeout=60))
-        return b'"n": 3' in process.stdout
-    await until("the killed registrar votes again", whole)
-
-
 async def main(with_trial: bool) -> None:
     """The fleet."""
     service = Service()
@@ -371,6 +267,7 @@
                      for role, numbers in (("registrar", (1, 2, 3)), ("counter", (1, 2, 3))) for number in numbers}
         try:
             if with_trial:
+                from .trial import trial
                 await trial(service, processes, folder)
                 print("trial: all well")
                 return
--- /dev/null
+++ b/tests/trial.py
@@ -0,0 +1,155 @@
+"""A short day with the real programs and the stand-ins, as a person would try them."""
+import json
+import os
+import subprocess
+import sys
+import time
+
+import curio
+
+from sumacloom.common.lines import LineSplitter, encode
+from sumacloom.courier.links import dial
+
+from .standins import BLUEPRINT, CTL, FE, ROOT, ZONES, Service, start
+
+
+async def talk(number: int, database: str, *texts: str) -> list[str]:
+    """A client's session with a counter: every line of its replies."""
+    lines = []
+    try:
+        async with curio.timeout_after(5.0):
+            sock = await dial(f"127.0.0.{10 + number}", FE)
+            async with sock:
+                splitter = LineSplitter()
+                for place, text in enumerate([f"LOGIN {database} someone", *texts]):
+                    await sock.sendall(encode(text if place == 0 else f"QUERY q{place} {text}"))
+                    got = []
+                    while not any(line.startswith("READY") for line in got):
+                        data = await sock.recv(65536)
+                        if not data:
+                            return lines + got + ["(closed)"]
+                        got += splitter.feed(data)
+                    lines += got
+    except (OSError, curio.TaskTimeout) as error:
+        lines.append(f"({type(error).__name__})")
+    return lines
+
+
+async def until(what: str, check, seconds: float = 20.0):
+    """Waits for something to be so."""
+    started = time.monotonic()
+    while not await check():
+        if time.monotonic() - started > seconds:
+            raise SystemExit(f"trial: {what} did not come about in {seconds:.0f} s")
+        await curio.sleep(0.1)
+    print(f"trial: {what} after {time.monotonic() - started:.1f} s", flush=True)
+
+
+async def fleet(*arguments: str) -> int:
+    """Runs `sumacloom fleet` as a person would."""
+    process = await curio.run_in_thread(lambda: subprocess.run(
+        [sys.executable, "-m", "sumacloom", "fleet", *arguments], cwd=ROOT, timeout=60,
+        env={**os.environ, "SUMACLOOM_REGISTRARS": f"127.0.0.1:{CTL},127.0.0.2:{CTL}"}))
+    return process.returncode
+
+
+async def shown(*arguments: str) -> list:
+    """What `sumacloom fleet` prints as JSON."""
+    process = await curio.run_in_thread(lambda: subprocess.run(
+        [sys.executable, "-m", "sumacloom", "fleet", *arguments, "--json"], cwd=ROOT, capture_output=True, timeout=60,
+        env={**os.environ, "SUMACLOOM_REGISTRARS": f"127.0.0.1:{CTL},127.0.0.2:{CTL}"}))
+    return json.loads(process.stdout)
+
+
+async def try_access(folder: str):
+    """Sets access lists, and compares the counts with what was sent."""
+    path, region = os.path.join(folder, "access.json"), sorted(set(ZONES.values()))[0]
+
+    async def put(**fields):
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({"default": "deny", "networks": {"127.0.0.0/8": region}, **fields}, file)
+        return await fleet("access", "set", path)
+    rules = [{"name": "desk", "action": "allow", "databases": ["books"], "regions": [region]},
+             {"name": "others", "action": "deny", "databases": ["*"], "regions": ["*"]}]
+    if await put(rules=rules):
+        raise SystemExit("trial: the access list did not come into force")
+    for number in (1, 2, 3):
+        allowed = await talk(number, "books", "PUT a allowed", "BEGIN", "PUT a more", "COMMIT")
+        denied = await talk(number, "search", "FETCH a")
+        if "ERR" in str(allowed) or not denied[0].startswith("ERR DENIED by the rule others"):
+            raise SystemExit(f"trial: the access list was not enforced: {allowed} {denied}")
+    counted = {(row["node"], row["rule"]): (row["logins_allowed"], row["logins_denied"], row["requests_allowed"])
+               for row in await shown("access", "counts", "--nodes") if row["generation"] == 1}
+    if any(counted[f"counter-{number}", "desk"] != (1, 0, 2) or counted[f"counter-{number}", "others"] != (0, 1, 0)
+           for number in (1, 2, 3)):
+        raise SystemExit(f"trial: the counts don't agree with what was sent: {counted}")
+    await fleet("access", "show"), await fleet("access", "counts")
+    codes = [await fleet("access", "check", "--database", database, "--address", "127.0.0.1") for database in ("books", "search")]
+    wrong = [await put(networks={"10.0.0.0/8": "mars"}), await fleet("access", "set", path, "--base", "0")]
+    if codes != [0, 7] or 0 in wrong or await put(default="allow"):
+        raise SystemExit(f"trial: access commands ended with {codes} and {wrong}")
+
+
+async def trial(service: Service, processes: dict, folder: str):
+    """A short day."""
+    path = os.path.join(folder, "blueprint.json")
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(BLUEPRINT, file)
+
+    async def served():
+        return (await talk(1, "books", "PUT a one"))[-2:-1] != [] and "DONE" in str(await talk(2, "books", "PUT a two"))
+
+    async def put():
+        return await fleet("blueprint", "put", path) == 0
+    await until("the blueprint is taken", put)
+    await until("writes are served", served)
+    print("\n".join(await talk(3, "search", "FETCH a")))
+    for command in (["status"], ["backends"], ["members"], ["rotation"], ["duties"],
+                    ["query", "SELECT zone, count(*) AS backends FROM backends GROUP BY zone"]):
+        print(f"$ sumacloom fleet {' '.join(command)}", flush=True)
+        if await fleet(*command):
+            raise SystemExit("trial: a command failed")
+    if await fleet("lane", "set", "books") or await fleet("lanes") or await fleet("lane", "clear"):
+        raise SystemExit("trial: the lane did not come into force")
+    await try_access(folder)
+    wrong_way = {**BLUEPRINT, "ver": 5, "svcs": [*BLUEPRINT["svcs"], {"name": "elsewhere"}],
+                 "routes": [{**BLUEPRINT["routes"][0], "svc": "elsewhere"}, BLUEPRINT["routes"][1]]}
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(wrong_way, file)
+    if await fleet("blueprint", "put", path) or "BUSY" not in str(await talk(1, "books", "PUT a lost")):
+        raise SystemExit("trial: the edit did not misdirect writes")
+    if await fleet("undo", "--generation", "5") or await fleet("generations") or not await served():
+        raise SystemExit("trial: the edit was not undone")
+    items = os.path.join(folder, "items")
+    listening = await curio.spawn(fleet, "listen", "desk", "books", "--into", items, "--count", "2", "--seconds", "30")
+
+    async def listens():
+        return "listening" in str(await curio.run_in_thread(lambda: subprocess.run(
+            [sys.executable, "-m", "sumacloom", "fleet", "listeners", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT,
+            capture_output=True, timeout=60).stdout))
+    await until("the desk listens", listens)
+    await talk(3, "books", "PUT a seven", "BEGIN", "PUT a eight", "PUT b nine", "COMMIT")
+    if await listening.join() or await fleet("listeners", "--nodes"):
+        raise SystemExit("trial: the listener did not get its items, or the lists differ")
+    with open(items, encoding="utf-8") as file:
+        taken = [json.loads(line)["text"] for line in file]
+    if taken != ["PUT a seven", "PUT a eight\nPUT b nine"]:
+        raise SystemExit(f"trial: the listener took {taken}")
+    await service.backends[0].die()
+    await until("writes are served after the primary died", served)
+    processes["registrar-1"].kill()
+    processes["registrar-1"].wait()
+    await fleet("evacuate", "zone-b")
+    await fleet("status")
+    await fleet("restore", "zone-b")
+    wrong = await fleet("evacuate", "zone-x"), await fleet("query", "DROP TABLE members"), await fleet("log-level", "loud")
+    if 0 in wrong:
+        raise SystemExit("trial: a wrong command ended well")
+    processes["registrar-1"] = start(folder, "registrar", 1)
+
+    async def whole():
+        process = await curio.run_in_thread(lambda: subprocess.run(
+            [sys.executable, "-m", "sumacloom", "fleet", "query", "SELECT count(*) AS n FROM registrars WHERE votes",
+             "--json", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT, capture_output=True, timeout=60))
+        return b'"n": 3' in process.stdout
+    await until("the killed registrar votes again", whole)
