Pool mode judged from what sessions do, agreed on by a register

Cause: nothing told which sessions may share wires by the statement, and transactions with their pauses could hold every wire that plain lookups need. Done: judgement in the counter (first sign of state tightens a session at once, relaxing takes requests and time), register pooling changed in batches by any registrar, differences as news, digests, pins, fleet pooling. Safety does not rest on it.

--- a/sumacloom/common/settings.py
+++ b/sumacloom/common/settings.py
@@ -69,6 +69,18 @@
     sweep_cutoff_s: float = 2.0
 
 
+class PoolSettings(msgspec.Struct, rename="camel"):
+    """How pool modes are judged from what sessions do; ours, and open to change."""
+
+    on: bool = True
+    relax_requests: int = 50     # seen here before a database is judged `statement`
+    relax_s: float = 10.0        # and over so long; doubled each time that the judgement was taken back
+    relax_share: float = 0.15    # at most so many of them with a transaction, a value or a prepared name
+    tighten_share: float = 0.3   # from so many on it is judged `transaction` again
+    session_requests: int = 8    # a session that was tightened is packed again after so many plain requests
+    session_s: float = 5.0       # and so long
+
+
 class Settings(msgspec.Struct, rename="camel"):
     node: str
     role: str
@@ -91,6 +103,7 @@
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     cloud: Cloud = msgspec.field(default_factory=Cloud)
     health: Health = msgspec.field(default_factory=Health)
+    pooling: PoolSettings = msgspec.field(default_factory=PoolSettings)
     log_level: str = "INFO"
 
 
@@ -136,6 +149,11 @@
         return Err(mishap("settings_invalid", "logLevel must be DEBUG, INFO, WARNING or ERROR"))
     if not 0 < settings.health.soft_lag_ms <= settings.health.hard_lag_ms:
         return Err(mishap("settings_invalid", "health: 0 < softLagMs <= hardLagMs must hold"))
+    pooling = settings.pooling
+    if not 0 <= pooling.relax_share < pooling.tighten_share <= 1:
+        return Err(mishap("settings_invalid", "pooling: 0 <= relaxShare < tightenShare <= 1 must hold"))
+    if min(pooling.relax_requests, pooling.session_requests) < 1 or min(pooling.relax_s, pooling.session_s) < 0:
+        return Err(mishap("settings_invalid", "pooling: requests must be above 0, times not below"))
     return Ok(settings)
 
 
--- a/sumacloom/counter/errand.py
+++ b/sumacloom/counter/errand.py
@@ -12,7 +12,7 @@
 
     __slots__ = (
         "session", "statement", "rule", "plan_name", "received", "cutoff", "hold_until", "stage", "wire",
-        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed", "lane", "intent",
+        "pause_until", "sends", "pending", "transaction", "refusal", "ran_at", "needed", "lane", "intent", "packed",
     )
 
     def __init__(self, session, statement, rule, plan_name: str, now: float, transaction):
@@ -31,6 +31,7 @@
         self.ran_at = 0.0
         self.needed = None
         self.lane = False
+        self.packed = session.mode == "statement" and transaction is None     # it shares wires by the statement
         self.intent = None
 
     @property
--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -13,6 +13,7 @@
 from . import losses, moves, outcomes
 from .errand import Errand
 from .gate import LOGIN, Gate
+from .pooling import Pooling
 from .rules import compile_rules
 from .session import Session, decode, wire_text
 from .spooling import Spooling, holds_back, judge
@@ -33,13 +34,11 @@
         self.waitlists = {}
         self.active = set()
         self.rules, self.blueprint = None, None
-        self.leaving = LEAVING.start
-        self.leaving_at = 0.0
-        self.effects = []
-        self.mishaps = []
+        self.leaving, self.leaving_at = LEAVING.start, 0.0
+        self.effects, self.mishaps = [], []
         self.warmed_at = -1e9
         self.lanes, self.unsure, self.alone = set(), False, False
-        self.gate = Gate()
+        self.gate, self.pooling = Gate(), Pooling(settings.pooling)
 
     # ------------------------------------------------------------ news
     def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
@@ -158,7 +157,8 @@
         elif words[1] not in self.rules:
             self.send(session, "ERR NODB there is no such database")
         else:
-            session.database = words[1]
+            session.database, session.who = words[1], words[2]
+            session.mode = self.pooling.mode(words[1], words[2])
             self.send(session, "READY I -")
             return
         self.shut_session(session, now)
@@ -318,10 +318,12 @@
             backends = yard.lead_candidates(ground, errand.rule, now)[:1]
             alive = backends and (backends[0].idle or backends[0].dark_since is None)
             ground.headless_since = None if alive else ground.headless_since or now
+        held = False                                   # a wire is there, but not for this one
         for backend in backends:
             if backend.name in full:
                 continue
-            if self.lanes and not errand.lane and yard.last_wire(backend, now):
+            if yard.kept_back(backend, errand, bool(self.lanes), now):
+                held = True
                 continue
             wire = yard.take_wire(backend, errand.session.values, errand.statement.prepared)
             if wire is None:
@@ -332,7 +334,7 @@
                 continue
             self.start_on(errand, wire, now)
             return True
-        for backend in backends[:1]:
+        for backend in backends[:not held]:
             full.add(backend.name)
             if backend.dialing < sum(1 for other in self.active if other.stage == "waiting"):
                 self.dial(backend, now)
--- a/sumacloom/counter/gate.py
+++ b/sumacloom/counter/gate.py
@@ -6,7 +6,7 @@
 from ..common.access import Access
 from ..common.blueprint import unpack_blueprint
 from ..common.logs import Scribe
-from ..courier.messages import AccessNews
+from ..courier.news import AccessNews
 
 scribe = Scribe("gate")
 LEASE_S = 3.0                    # shorter than the registrars' ENFORCE_S
--- a/sumacloom/counter/ground.py
+++ b/sumacloom/counter/ground.py
@@ -12,7 +12,7 @@
     __slots__ = (
         "name", "service", "host", "port", "zone", "region", "phase", "role", "slots", "order", "cold_until",
         "wires", "idle", "dialing", "backoff", "barred_until", "refused_at", "claimed_at", "closing_at",
-        "tokens", "tokens_at", "dark_since", "crowded_until", "shy_until",
+        "tokens", "tokens_at", "dark_since", "crowded_until", "shy_until", "packed_at",
     )
 
     def __init__(self, name: str, service: str):
@@ -27,7 +27,7 @@
         self.role, self.phase = "replica", "up"
         self.cold_until = 0.0
         self.dark_since = None
-        self.crowded_until = -1e9
+        self.crowded_until = self.packed_at = -1e9
         self.shy_until = -1e9        # it failed or shed a statement of ours: reads go elsewhere first
 
 
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -5,7 +5,8 @@
 from ..common.settings import split_address
 from ..courier.board import Board
 from ..courier.links import Link, accept_all, dial, listen, tune
-from ..courier.messages import Digest, Follow, Held, Hello, MemberBeat, News, Noted, Pending, RegistrarBeat
+from ..courier.messages import Follow, Held, Hello, MemberBeat, News, Noted, Pending, RegistrarBeat
+from ..courier.news import Digest
 from .gate import Lease
 
 scribe = Scribe("member")
@@ -39,6 +40,7 @@
         self.sure_at = None          # when a registrar that lacks nothing last spoke to us
         self.behind_since = None
         self.attached, self.lease = "", Lease()
+        self.minds = lambda _now: []         # what the floor's pooling has to say
         self.unsettled_since, self.patience = None, UNSETTLED_S
 
     @property
@@ -97,7 +99,7 @@
             now = self.clock()
             sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
             self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None,
-                                         self.leaving, None if self.lease.until is None else now))
+                                         self.leaving, None if self.lease.until is None else now, self.minds(now)))
 
     def say(self, message) -> None:
         """A message for the registrar; without a session it is dropped, and said again later.
--- a/sumacloom/counter/report.py
+++ b/sumacloom/counter/report.py
@@ -1,5 +1,5 @@
 """A counter's own state, for the admin API."""
-from ..courier.board import body_digest, list_digest
+from ..courier.board import body_digest, list_digest, pool_digest
 
 
 def report_of(floor, member, now: float) -> dict:
@@ -18,6 +18,7 @@
         "listeners_digest": list_digest(member.board.listeners), "unnoted": len(floor.spooling.unnoted),
          "parent": member.parent_address or "registrar",
         "access": floor.gate.access.generation if floor.gate.access else 0, "access_held": digest.access,
+        "pooling": digest.pooling, "pooling_digest": pool_digest(member.board.pool_rows),
         "registrar": member.attached, "sessions": len(floor.sessions), "waiting": sum(map(len, floor.waitlists.values())),
         "wires": len(floor.wires),
     }
@@ -34,4 +35,5 @@
         for ground in yard.grounds.values() for backend in ground.backends.values()
         for replica in [ground.rotation.replicas.get(backend.name)]
     ]
-    return {"counter": counter, "rotation": rotation, "access": floor.gate.rows(settings.node)}
+    return {"counter": counter, "rotation": rotation, "access": floor.gate.rows(settings.node),
+            "sharing": [{"node": settings.node, **row} for row in floor.pooling.report(floor.sessions.values())]}
--- a/sumacloom/counter/session.py
+++ b/sumacloom/counter/session.py
@@ -44,10 +44,13 @@
     __slots__ = (
         "key", "splitter", "database", "values", "names", "transaction", "errand", "waiting",
         "last_commit", "opened_at", "closed", "address", "region",
+        "who", "mode", "plain", "tight_at", "stateful",
     )
 
     def __init__(self, key: int, now: float, address: str = ""):
         self.key, self.address = key, address
+        self.who, self.mode = "", "transaction"
+        self.plain, self.tight_at, self.stateful = 0, now, False     # of how it was seen to behave
         self.region = None           # (generation of the access list, region), once looked up
         self.splitter = LineSplitter()
         self.database = None
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -50,6 +50,7 @@
         self.watch = FileWatch()
         self.member = Member(settings, self.now, self.take_news, self.floor.yard, self.floor.mishaps, self.report,
                              self.life, self.hear_spool)
+        self.member.minds = self.floor.pooling.minds
 
     @staticmethod
     def now() -> float:
@@ -200,6 +201,7 @@
         if board.blueprint:
             self.floor.take_blueprint(board.blueprint, now)
         self.floor.yard.take_evacuations(board.zones, now)
+        self.floor.pooling.take(board.pooling, board.pool_rows)
         self.floor.take_records(list(board.records.values()), now)
         await self.act()
 
--- a/sumacloom/counter/verbs.py
+++ b/sumacloom/counter/verbs.py
@@ -29,6 +29,8 @@
     if transaction is None and (denial := floor.gate.denies(session, session.database, REQUEST)):
         floor.reply(session, [denial], now)
         return
+    if transaction is None:
+        floor.pooling.seen(session, bool(session.values or statement.prepared), now)
     plan = ""
     if transaction:
         plan = transaction.rule.plans["begin_read" if transaction.mode == "begin_read" else "begin"]
@@ -50,6 +52,7 @@
     elif rule is None:
         floor.reply(session, ["ERR NODB the database is no longer there"], now)
     else:
+        floor.pooling.seen(session, True, now)
         session.transaction = Transaction(rule, statement.sort, now)
         floor.reply(session, ["DONE -"], now)
 
@@ -98,6 +101,7 @@
         floor.reply(session, ["ERR TOOLONG too many session values"], now)
         return
     session.values[statement.name] = statement.rest
+    session.mode = "transaction"
     floor.reply(session, ["DONE -"], now)
 
 
@@ -112,6 +116,7 @@
         floor.reply(session, ["ERR TOOLONG too many prepared names"], now)
         return
     session.names[statement.name] = statement.prepared
+    session.mode = "transaction"
     floor.reply(session, ["DONE -"], now)
 
 
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -4,7 +4,7 @@
 from ..common.logs import Scribe
 from ..common.settings import Settings, split_address
 from ..common.types import ORIGIN, Position
-from ..courier.messages import Sighting
+from ..courier.news import Sighting
 from .ground import Backend, Ground
 from .wire import Wire
 
@@ -18,6 +18,7 @@
 SHARE_OF_BOUND = 0.6
 UNKNOWN_MEMBERS = 8
 MEMBERS_S = 10.0
+PACKED_S = 5.0         # so long after a statement in statement mode a wire is kept for the next
 
 
 class Yard:
@@ -234,6 +235,19 @@
         """
         return len(backend.idle) == 1 and 1 < self.cap(backend, now) <= len(backend.wires)
 
+    def kept_back(self, backend: Backend, errand, lanes: bool, now: float) -> bool:
+        """Whether the last wire is not for this one: it is kept for the priority lane, or for sessions that share wires
+        by the statement, which transactions with their pauses would else starve.
+
+        >>> Yard.kept_back.__name__
+        'kept_back'
+        """
+        if errand.packed:
+            backend.packed_at = now
+        laned = lanes and not errand.lane
+        packs = not errand.packed and errand.transaction is not None and now - backend.packed_at < PACKED_S
+        return (laned or packs) and self.last_wire(backend, now)
+
     def take_wire(self, backend: Backend, values: dict, prepared) -> Wire | None:
         """An idle wire, one that fits the session before one that needs a RESET.
 
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -3,7 +3,8 @@
 
 from ..common.blueprint import PACK_FROM, Blueprint, decode_blueprint, pack_blueprint, unpack_blueprint
 from ..common.differences import MARK, differ, patch
-from .messages import AccessNews, Digest, LaneNews, ListenNews, News, PoolNews, Record, digest_records
+from .messages import News
+from .news import AccessNews, Digest, LaneNews, ListenNews, PoolNews, PoolRow, Record, digest_records
 
 
 MOST_PAST = 4
@@ -27,6 +28,16 @@
     return f"{zlib.crc32(repr(sorted(map(tuple, listeners.rows))).encode()):08x}"
 
 
+def pool_digest(rows: dict[str, PoolRow]) -> str:
+    """A short digest of the modes, by which nodes are compared.
+
+    >>> pool_digest({}) == pool_digest({})
+    True
+    """
+    text = repr([(row.database, row.mode, row.pinned, row.exceptions) for _name, row in sorted(rows.items())])
+    return f"{zlib.crc32(text.encode()):08x}"
+
+
 class Board:
     """Blueprint, evacuations and backend records, with their generations.
 
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 from ..common.results import Err, Ok, Result, mishap
-from . import access, client
+from . import access, client, pooling
 from .calls import ask, finish, print_rows, table
 from .orders import listen, listeners, undo, unlisten
 from .tables import query as run_query
@@ -123,7 +123,7 @@
 
 
 def query(text: str, *, at: str = "", json: bool = False) -> int:
-    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations, listeners, listening, access.
+    """Answers a SELECT over the tables registrars, registers, members, counters, backends, rotation, duties, zones, lanes, generations, listeners, listening, access, pooling, poolers, sharing.
 
     :param text: the query, in one argument
     :param at: registrars to ask, IP:PORT,IP:PORT
@@ -253,5 +253,6 @@
     "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
     "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put}, "undo": undo,
     "access": {"set": access.set_list, "show": access.show, "check": access.check, "counts": access.counts},
+    "pooling": {"show": pooling.show, "set": pooling.set_mode},
     "listen": listen, "unlisten": unlisten, "listeners": listeners,
 }
--- a/sumacloom/registrar/access.py
+++ b/sumacloom/registrar/access.py
@@ -8,7 +8,7 @@
 
 from ..common.blueprint import unpack_blueprint
 from ..common.logs import Scribe
-from ..courier.messages import AccessNews
+from ..courier.news import AccessNews
 from . import rollout
 from .values import keep
 
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -11,7 +11,7 @@
 from ..common.results import mishap
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
-from . import access_calls, duties, lanes, listening, undo, voters  # noqa: F401  (access_calls serves calls)
+from . import access_calls, duties, lanes, listening, pooling, undo, voters  # noqa: F401  (access_calls serves calls)
 from .ctl import serves
 from .values import decode
 
@@ -20,7 +20,7 @@
 COUNTERS_S = 0.25
 STEP_S = 0.02
 TABLES = ("registrars", "registers", "members", "counters", "backends", "rotation", "duties", "zones",
-          "lanes", "generations", "listeners", "listening", "access")
+          "lanes", "generations", "listeners", "listening", "access", "pooling", "poolers", "sharing")
 
 
 async def own_part(shell) -> dict:
@@ -59,6 +59,8 @@
         "counters": [report["counter"] for report in reports],
         "listening": listening.node_rows(office, node, reports),
         "generations": undo.own_rows(office, node, reports, list(office.members.sessions), now),
+        "poolers": pooling.node_rows(office, node, reports),
+        "sharing": [row for report in reports for row in report.get("sharing", [])],
         "access": [row for report in reports for row in report.get("access", [])],
         "rotation": [row for report in reports for row in report["rotation"]],
     }
@@ -94,6 +96,7 @@
             "vacant": duties.vacant(office, now),
         }],
         "lanes": lane_rows(office, now),
+        "pooling": pooling.own_rows(office),
         "listeners": listening.list_rows(office, now),
         "zones": [
             {"zone": zone, "region": region, "evacuated": zone in office.board.zones}
@@ -141,7 +144,7 @@
     unheard = [peer for peer in shell.office.others() if peer not in parts]
     tables["registrars"] += [{"node": "", "zone": "", "ip": peer, "votes": False, "learned": False, "blueprint": 0,
                               "evacuations": 0, "hears": "unheard", "plans": ""} for peer in unheard]
-    for name in ("generations", "listening"):
+    for name in ("generations", "listening", "poolers"):
         tables[name] = undo.one_per_node(tables[name], unheard)
     return {**tables, **shared_part(shell)}
 
--- a/sumacloom/registrar/failover.py
+++ b/sumacloom/registrar/failover.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..common.types import Position, read_position
-from ..courier.messages import Record
+from ..courier.news import Record
 
 CATCH_UP_TRIES = 20
 SOON_S = 2.0
--- a/sumacloom/registrar/lanes.py
+++ b/sumacloom/registrar/lanes.py
@@ -5,7 +5,7 @@
 waited for until its own lease has surely run out, after which it calls itself unready.
 """
 from ..common.logs import Scribe
-from ..courier.messages import LaneNews
+from ..courier.news import LaneNews
 from . import rollout
 
 scribe = Scribe("lanes")
--- a/sumacloom/registrar/listeners.py
+++ b/sumacloom/registrar/listeners.py
@@ -7,7 +7,7 @@
 
 from ..common.logs import Scribe
 from ..common.results import Err, Ok, mishap
-from ..courier.messages import ListenNews
+from ..courier.news import ListenNews
 from . import duties
 from .feed import Feed, join, leave
 from .values import decode, encode
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -9,7 +9,7 @@
 from ..common.types import NO_BALLOT, Ballot
 from ..courier.board import Board
 from ..courier.messages import Decided, Panel, PeerBeat, Prepare, Tell
-from . import access, desk, duties, lanes, listeners, taking, voters
+from . import access, desk, duties, lanes, listeners, pooling, taking, voters
 from .desk import Desk
 from .hearing import HEARERS, KNOWN_S
 from .register import Ballots, Proposal
@@ -37,6 +37,7 @@
         self.random = random
         self.board = Board()
         self.roster, self.members = Roster(self.board), Members()
+        self.minds, self.minded_at = set(), now
         self.lanes_at, self.readings = now, access.Readings(now)
         self.seeds = [split_address(seed)[0] for seed in settings.seeds]
         self.ballots = Ballots(self.me, self.nonce, random)
@@ -374,6 +375,7 @@
             lanes.mind_lanes(self, now)
             access.mind_access(self, now)
             listeners.mind_listeners(self, now)
+        pooling.mind_pooling(self, now)
         mind_spool(self, now)
         self.keep_roster(now)
 
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -6,7 +6,7 @@
 from ..common.results import Err, Ok, Result, mishap
 from ..common.settings import split_address
 from ..courier.board import Board
-from ..courier.messages import Record, Sighting
+from ..courier.news import Record, Sighting
 
 scribe = Scribe("roster")
 TOMBSTONE_S = 60.0
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -14,6 +14,7 @@
 from . import admin, ctl, voters
 from .access import Stamps
 from .caretaker import mind_backends
+from .pooling import hear_minds
 from .spool import take_intent, take_verdict
 from .office import Office
 
@@ -238,6 +239,7 @@
             return
         link.leaving = message.leaving
         link.stamps.hear(message.stamp, now)
+        hear_minds(office, message.minds)
         office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes,
                             message.digest.listeners, link.peer.life)
         self.counters[node] = link
--- a/sumacloom/registrar/taking.py
+++ b/sumacloom/registrar/taking.py
@@ -1,7 +1,7 @@
 """What a registrar does with a decided value, key by key."""
 from ..common.logs import Scribe
 from ..courier.messages import News, Panel
-from . import access, duties, lanes, listeners, voters
+from . import access, duties, lanes, listeners, pooling, voters
 from .feed import Feed
 from .values import BlueprintValue, DutyValue, EvacuationsValue, decode
 
@@ -109,6 +109,20 @@
         scribe.say("the access list %d is %s", found.generation, "in force" if found.in_force else "offered")
 
 
+@takes(pooling.KEY)
+def take_pooling(office, value: bytes, now: float) -> None:
+    """Sessions are judged anew.
+
+    >>> TAKERS[pooling.KEY] is take_pooling
+    True
+    """
+    found = decode(pooling.PoolValue, value)
+    before = office.board.pooling
+    if office.board.take(News(None, 0, None, None, pooling=found.news())):
+        scribe.say("the pool modes %d: %s", found.generation, ", ".join(
+            f"{row.database} {row.mode}" for row in found.rows if row.since > before))
+
+
 @takes(listeners.KEY)
 def take_listeners(office, value: bytes, now: float) -> None:
     """The list of listeners has changed.
--- a/sumacloom/registrar/values.py
+++ b/sumacloom/registrar/values.py
@@ -8,7 +8,7 @@
 from ..common.differences import differ, patch
 from ..common.results import Err, Ok, mishap
 
-KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters", "listeners", "access")
+KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters", "listeners", "access", "pooling")
 HISTORY = 64
 MOST_PAST, MOST_PAST_BYTES, MOST_UNDOS = 4, 48 << 10, 16
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -5,7 +5,7 @@
 from sumacloom.common.settings import Settings
 from sumacloom.counter import losses, outcomes, upkeep
 from sumacloom.counter.floor import Floor
-from sumacloom.courier.messages import Record
+from sumacloom.courier.news import Record
 
 BLUEPRINT = {
     "ver": 1,
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -8,7 +8,7 @@
 from sumacloom.common.access import Access
 from sumacloom.common.http import Request
 from sumacloom.counter import gate
-from sumacloom.courier.messages import AccessNews
+from sumacloom.courier.news import AccessNews
 from sumacloom.fleet import access as command
 from sumacloom.registrar import access, access_calls, rollout
 from sumacloom.registrar.access_check import MOST_BODY, check_access
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,7 +10,8 @@
 from sumacloom.common.types import Position
 from sumacloom.counter.rotation import Rotation
 from sumacloom.courier.board import Board
-from sumacloom.courier.messages import Digest, News, PeerBeat, Record, Tell, Unframer, frame
+from sumacloom.courier.messages import News, PeerBeat, Tell, Unframer, frame
+from sumacloom.courier.news import Digest, Record
 from sumacloom.ledger.log import Ledger, pack
 from sumacloom.registrar import duties
 from sumacloom.registrar.check import check_blueprint
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -6,7 +6,8 @@
 from sumacloom.common.settings import Settings
 from sumacloom.counter.member import Member
 from sumacloom.counter.yard import Yard
-from sumacloom.courier.messages import Hello, News, Record, RegistrarBeat, Sighting, frame
+from sumacloom.courier.messages import Hello, News, RegistrarBeat, frame
+from sumacloom.courier.news import Record, Sighting
 from sumacloom.registrar.access import Stamps
 from sumacloom.registrar.shell import Shell
 
--- a/tests/town.py
+++ b/tests/town.py
@@ -8,8 +8,10 @@
 from sumacloom.counter import gate, losses, outcomes, spooling, upkeep
 from sumacloom.counter.floor import Floor
 from sumacloom.courier.board import Board
-from sumacloom.courier.messages import Held, Intent, Record
+from sumacloom.courier.messages import Held, Intent
+from sumacloom.courier.news import Record
 from sumacloom.registrar.access import Stamps
+from sumacloom.registrar.pooling import hear_minds
 from sumacloom.registrar.spool import take_intent, take_verdict
 
 from .test_voters import Land
@@ -85,6 +87,7 @@
         if self.session != one.me:
             self.stamps, self.said = Stamps(), None
         self.session = one.me
+        hear_minds(one, self.floor.pooling.minds(now))
         said, self.said = self.said, (one.board.access.order, self.stamps.confirmed(one.readings.read_at))
         if said:                                             # the beat before this one has arrived by now
             self.lease.hear(said[0], self.board.access.order, said[1], now)
@@ -92,6 +95,7 @@
         if news and self.board.take(news):
             if self.board.blueprint:
                 self.floor.take_blueprint(self.board.blueprint, now)
+            self.floor.pooling.take(self.board.pooling, self.board.pool_rows)
             self.floor.take_records(list(self.board.records.values()), now)
 
     @property
