--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,3 +5,8 @@
 for folder in (os.path.join(ROOT, "target", "deps"), ROOT):
     if os.path.isdir(folder) and folder not in sys.path:
         sys.path.insert(0, folder)
+
+
+def pytest_configure(config):
+    from tests.known_red import KnownRed
+    config.pluginmanager.register(KnownRed(ROOT))
