Registrars count members once in a tenth of a second, not for each counter's beat

Cause: with each beat of each counter a registrar looked at all members (and sorted its sessions, and looked at all sightings): three registrars together took 0.12, 0.17, 0.37 and 1.22 cores for 50, 100, 200 and 400 hollow counters (capacity.measure, real processes, this machine busy otherwise). Ruled out: bytes and messages, which grow by the counter.

--- a/sumacloom/registrar/members.py
+++ b/sumacloom/registrar/members.py
@@ -1,4 +1,5 @@
 """Members: the counters in session here, and those that the peers tell of."""
+from bisect import bisect_left
 from typing import NamedTuple
 
 from ..common.logs import Scribe
@@ -30,6 +31,7 @@
 
     def __init__(self):
         self.sessions: dict[str, Session] = {}
+        self.siblings: dict[str, list[str]] = {}   # the sessions of a zone in order, until one comes or goes
         self.departed: dict[str, float] = {}
         self.goodbyes: dict[str, float] = {}       # counters that ended in order
         self.seen: dict[str, tuple] = {}           # counters, wherever in session: node: (zone, when last)
@@ -43,6 +45,8 @@
         True
         """
         fresh = node not in self.sessions
+        if fresh or self.sessions[node].zone != zone:
+            self.siblings.clear()
         self.sessions[node] = Session(zone, address, now, lanes, listeners, life)
         self.departed.pop(node, None)
         if fresh:
@@ -56,6 +60,7 @@
         """
         session = self.sessions.pop(node, None)
         if session:
+            self.siblings.clear()
             self.departed[node] = now
             if in_order:
                 self.goodbyes[node] = now
@@ -168,8 +173,10 @@
         '10.0.0.1:7441'
         """
         zone = self.sessions[node].zone
-        siblings = sorted(name for name, session in self.sessions.items() if session.zone == zone)
-        place = siblings.index(node)
+        if zone not in self.siblings:
+            self.siblings[zone] = sorted(name for name, session in self.sessions.items() if session.zone == zone)
+        siblings = self.siblings[zone]
+        place = bisect_left(siblings, node)
         direct = fan if zone == home else 1
         return "" if place < direct else self.sessions[siblings[(place - direct) // fan]].address
 
--- a/sumacloom/registrar/roster.py
+++ b/sumacloom/registrar/roster.py
@@ -1,4 +1,6 @@
 """Backends as one registrar knows them: beats, tombstones, sightings, suspicions."""
+from itertools import takewhile
+
 import msgspec
 from msgspec import structs
 
@@ -181,6 +183,7 @@
         for sighting in sightings:
             seen = now - sighting.age_ms / 1000
             if seen > self.sighted.get(sighting.backend, (-1e9,))[0]:
+                self.sighted.pop(sighting.backend, None)             # kept in the order in which they came
                 self.sighted[sighting.backend] = (seen, sighting, now, own)
 
     def sightings(self, since: float, now: float, own: bool = False) -> list[Sighting]:
@@ -191,8 +194,8 @@
         """
         return [
             structs.replace(sighting, age_ms=int((now - seen) * 1000))
-            for seen, sighting, came, ours in self.sighted.values()
-            if came > since and now - seen < SIGHT_S and (ours or not own)
+            for seen, sighting, _came, ours in takewhile(lambda sight: sight[2] > since, reversed(self.sighted.values()))
+            if now - seen < SIGHT_S and (ours or not own)
         ]
 
     def suspect(self, name: str, now: float) -> None:
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -24,11 +24,14 @@
 PEER_DIAL_S = 0.35
 DISK_PAUSE_S = 0.25
 FLIPPED_S = 0.4
+COUNT_S = 0.1
 
 
 class Shell:
     """One running registrar."""
 
+    counted, counted_at = 1, -1e9      # the members of the whole fleet, and when they were counted
+
     def __init__(self, settings: Settings):
         self.settings = settings
         self.most_blueprint = 4 << 20
@@ -263,11 +266,12 @@
         """
         office = self.office
         registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
-        members = max(1, office.members.count(now))
+        if now - self.counted_at >= COUNT_S:         # all members are looked at: not for each counter's beat
+            self.counted, self.counted_at = max(1, office.members.count(now)), now
         sightings = office.roster.sightings(link.shared_at, now)
         link.shared_at = now
         link.send(RegistrarBeat(
-            office.board.digest(), members, link.parent, registrars, sightings, want_report, level,
+            office.board.digest(), self.counted, link.parent, registrars, sightings, want_report, level,
             office.settled(now), link.stamps.confirmed(office.readings.read_at)))
 
     def announce(self, message: Pending) -> None:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -9,6 +9,7 @@
 from sumacloom.courier.messages import Hello, News, RegistrarBeat, frame
 from sumacloom.courier.news import Record, Sighting
 from sumacloom.registrar.access import Stamps
+from sumacloom.registrar.members import Members
 from sumacloom.registrar.shell import Shell
 
 from .test_voters import Land
@@ -132,6 +133,18 @@
     assert large[1] / 60 < 4000                               # bytes a second: a narrow link bears it
 
 
+def test_who_is_a_member_is_looked_up_no_more_often_in_a_larger_fleet(fleets, monkeypatch):
+    """Found by docs/CAPACITY.md: all members were looked at for each beat of each, and the registrars' time grew fourfold."""
+    looked, rows = {25: 0, 100: 0}, Members.rows
+    for size, fleet in fleets.items():
+        def counted(members, now, size=size):
+            looked[size] += 1
+            return rows(members, now)
+        monkeypatch.setattr(Members, "rows", counted)
+        fleet.run(7.0)
+    assert 0 < looked[100] <= looked[25] * 1.1
+
+
 def test_a_change_reaches_each_of_100_counters_about_once_and_later_ones_as_differences(fleets):
     first = {size: change(fleet, 5) for size, fleet in fleets.items()}
     later = {size: change(fleet, 9) for size, fleet in fleets.items()}
