A fleet that starts at once no longer gives a backend's connections to whoever comes first

Cause: until the members were counted (4 s) a counter thought itself one of 8 and took up to 32 wires of a backend that has 810 connections for 195 counters; idle wires above the fair share were kept for good, so others had none. Change: four wires at most until the members are counted; what is idle for 2 s above the cap is closed. Ruled out for now: dialling on demand only; a replica nobody has a wire to is unseen, and its first reads would load the lead and the links between regions (read from the code, not measured).

--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -238,8 +238,10 @@
                 self.reread()
             if self.signals.ending:
                 upkeep.sigterm(self.floor, self.now())
-            if self.member.settled:
-                self.floor.yard.count_members(self.member.members, self.now())
+            yard = self.floor.yard
+            yard.settled = self.member.settled
+            if self.member.settled or self.member.members > yard.members:
+                yard.count_members(self.member.members, self.now())
             lanes = self.member.board.lanes
             guarded = bool(self.floor.blueprint and self.floor.blueprint.limits.guarded)
             access, now = self.member.board.access, self.now()
--- a/sumacloom/counter/upkeep.py
+++ b/sumacloom/counter/upkeep.py
@@ -14,6 +14,7 @@
 LOGIN_CUTOFF_S = 5.0
 WARM_EVERY_S = 0.5
 SCARCE_S = 1.0
+SPARE_S = 2.0          # idle for so long, a wire above the cap is closed: others may have none
 HELD_SHARE = 0.45      # of its aim: how long a statement is held for a backend to come
 MOST_HELD = 0.9        # and of its time-out
 LONG_OUTAGE_S = 2.0    # without a lead for so long, hope is thin:
@@ -157,6 +158,9 @@
             floor.dial(backend, now)
         for wire in [wire for wire in backend.idle if scarce and now - wire.idle_since >= SCARCE_S]:
             moves.drop(floor, wire)
+        spare = max(0, len(backend.wires) - floor.yard.cap(backend, now))
+        for wire in [wire for wire in backend.idle if now - wire.idle_since >= SPARE_S][:spare]:
+            moves.drop(floor, wire)
 
 
 def sweep(floor, now: float) -> None:
--- a/sumacloom/counter/yard.py
+++ b/sumacloom/counter/yard.py
@@ -30,7 +30,7 @@
         self.backends = {}
         self.evacuated = {}
         self.services = {}
-        self.members = UNKNOWN_MEMBERS
+        self.members, self.settled = UNKNOWN_MEMBERS, True    # settled: the members have had the time to be counted
         self.members_seen = []
         self.next_key = 1
 
@@ -211,10 +211,13 @@
     def cap(self, backend: Backend, now: float) -> int:
         """How many wires this counter may hold to the backend: its fair share, or a few more until told of a crowd.
 
+        Until the members are counted it is a few: a fleet that starts at once would else take all of `maxconn` by
+        whoever comes first.
+
         >>> yard = Yard(Settings("n", "r", "10.0.0.1", "z")); yard.members = 1; yard.cap(Backend("i-1", "svc"), 0.0)
         22
         """
-        fair = max(1, min(MOST_WIRES, int(self.share(backend))))
+        fair = max(1, min(MOST_WIRES if self.settled else FREE_WIRES, int(self.share(backend))))
         return fair if now < backend.crowded_until else max(fair, FREE_WIRES)
 
     def note_crowd(self, backend: Backend, now: float) -> None:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -499,3 +499,26 @@
     stage.answer(near, f"ERR {code} x", "READY I 1.10")
     stage.tick(0.04)
     assert "FETCH a" in stage.take(far.key)[0]
+
+
+def test_a_fleet_that_starts_at_once_does_not_give_all_connections_to_whoever_comes_first():
+    """Found on a large day after all power was lost: 195 counters thought they were 8; 4,171 connections were reset,
+    and who had none stayed without, since idle wires above the fair share were kept."""
+    stage = Stage(svcs=[{"name": "svc", "maxconn": 800}])
+    yard, lead = stage.floor.yard, stage.floor.yard.backends["p"]
+    yard.settled = False
+    assert yard.cap(lead, stage.now) == 4                     # 8 members would make it 32
+    yard.settled = True
+    assert yard.cap(lead, stage.now) == 32
+    stage.warm()
+    for _wire in range(9):
+        wire = yard.new_wire(lead, stage.now)
+        stage.floor.wires[wire.key] = wire
+        wire.login("edge-1")
+        stage.answer(wire, "READY I 1.10")
+    yard.count_members(200, stage.now)                        # now they are counted: 2 each, 4 while nobody minds
+    stage.tick(0.5)
+    assert len(lead.wires) == 10
+    for _tick in range(4):
+        stage.tick(0.6)
+    assert len(lead.wires) == 4
