--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -12,6 +12,8 @@
 from ..common.settings import Settings
 from . import losses, moves, outcomes
 from .errand import Errand
+from .gate import LOGIN, Gate
+from .pooling import Pooling
 from .rules import compile_rules
 from .session import Session, decode, wire_text
 from .spooling import Spooling, holds_back, judge
@@ -32,12 +34,11 @@
         self.waitlists = {}
         self.active = set()
         self.rules, self.blueprint = None, None
-        self.leaving = LEAVING.start
-        self.leaving_at = 0.0
-        self.effects = []
-        self.mishaps = []
+        self.leaving, self.leaving_at = LEAVING.start, 0.0
+        self.effects, self.mishaps = [], []
         self.warmed_at = -1e9
         self.lanes, self.unsure, self.alone = set(), False, False
+        self.gate, self.pooling = Gate(), Pooling(settings.pooling)
 
     # ------------------------------------------------------------ news
     def take_blueprint(self, blueprint: Blueprint, now: float) -> None:
@@ -91,25 +92,15 @@
             scribe.say("no settled registrar is heard: not ready, since the lanes may have changed")
         self.unsure = unsure
         if unsure:
-            self.close_idle(now)
-
-    def close_idle(self, now: float) -> None:
-        """Closes the sessions at rest, which a client does not take for a mishap.
-
-        >>> Floor(Settings("n", "r", "10.0.0.1", "z")).close_idle(0.0)
-        """
-        for session in list(self.sessions.values()):
-            resting = session.state == "I" and session.errand is None and not session.waiting
-            if session.database and resting:
-                self.shut_session(session, now)
+            moves.close_idle(self, now)
 
     # ------------------------------------------------------------ sessions
-    def session_opened(self, key, now: float) -> None:
+    def session_opened(self, key, now: float, address: str = "") -> None:
         """A client connected.
 
         >>> Floor(Settings("n", "r", "10.0.0.1", "z")).session_opened(1, 0.0)
         """
-        self.sessions[key] = Session(key, now)
+        self.sessions[key] = Session(key, now, address)
 
     def session_data(self, key, data: bytes, now: float) -> None:
         """Bytes of a client.
@@ -151,10 +142,13 @@
             self.send(session, "ERR MALFORMED a session starts with LOGIN")
         elif self.rules is None:
             self.send(session, "ERR BUSY this counter has no blueprint yet")
+        elif denial := self.gate.denies(session, words[1], LOGIN):
+            self.send(session, denial)
         elif words[1] not in self.rules:
             self.send(session, "ERR NODB there is no such database")
         else:
-            session.database = words[1]
+            session.database, session.who = words[1], words[2]
+            session.mode = self.pooling.mode(words[1], words[2])
             self.send(session, "READY I -")
             return
         self.shut_session(session, now)
@@ -290,17 +284,21 @@
         waiting, waitlist[:] = list(waitlist), []
         kept = [
             errand for errand in waiting
-            if errand.stage == "waiting" and (now < errand.pause_until or not self.place(errand, full, now))
+            if errand.stage == "waiting" and (now < errand.pause_until or not self.place(errand, full, len(waiting), now))
         ]
         waitlist[:] = sorted(kept + waitlist, key=Errand.order) if waitlist else kept
 
-    def place(self, errand: Errand, full: set, now: float) -> bool:
+    def place(self, errand: Errand, full: set, waiting: int, now: float) -> bool:
         """Walks the plan's first step: draws a backend and a wire, and starts the errand on it.
 
+        What found no wire is not looked for again in the same round: a long waitlist would else cost its square.
+
         >>> Floor.place.__name__
         'place'
         """
-        yard = self.yard
+        yard, kind = self.yard, errand.kind()
+        if kind in full:
+            return False
         ground = yard.ground(errand.rule.service)
         if errand.plan[0] == "rotation":
             ground.read_at = now
@@ -314,10 +312,12 @@
             backends = yard.lead_candidates(ground, errand.rule, now)[:1]
             alive = backends and (backends[0].idle or backends[0].dark_since is None)
             ground.headless_since = None if alive else ground.headless_since or now
+        held = False                                   # a wire is there, but not for this one
         for backend in backends:
             if backend.name in full:
                 continue
-            if self.lanes and not errand.lane and yard.last_wire(backend, now):
+            if yard.kept_back(backend, errand, bool(self.lanes), now):
+                held = True
                 continue
             wire = yard.take_wire(backend, errand.session.values, errand.statement.prepared)
             if wire is None:
@@ -328,14 +328,14 @@
                 continue
             self.start_on(errand, wire, now)
             return True
-        for backend in backends[:1]:
+        for backend in backends[:not held]:
             full.add(backend.name)
-            if backend.dialing < sum(1 for other in self.active if other.stage == "waiting"):
-                self.dial(backend, now)
+        if backends and (held or backends[0].dialing >= waiting or not self.dial(backends[0], now)):
+            full.add(kind)
         return False
 
-    def dial(self, backend, now: float) -> None:
-        """Opens one more wire to a backend, if it may have one.
+    def dial(self, backend, now: float) -> bool:
+        """Opens one more wire to a backend, if it may have one; tells whether it may.
 
         >>> Floor.dial.__name__
         'dial'
@@ -344,6 +344,7 @@
         if wire:
             self.wires[wire.key] = wire
             self.effects.append(("dial", wire.key, backend.host, backend.port))
+        return wire is not None
 
     def start_on(self, errand: Errand, wire, now: float) -> None:
         """Puts the session's values and names in place on the wire, opens what the plan opens, or runs.
--- a/sumacloom/counter/verbs.py
+++ b/sumacloom/counter/verbs.py
@@ -1,5 +1,6 @@
 """What each sort of statement does; all but reads, writes and COMMIT are answered here."""
 from . import moves
+from .gate import REQUEST
 from .session import MOST_VALUES, Session, Transaction
 
 SORTS = {}
@@ -25,6 +26,11 @@
     True
     """
     transaction = session.transaction
+    if transaction is None and (denial := floor.gate.denies(session, session.database, REQUEST)):
+        floor.reply(session, [denial], now)
+        return
+    if transaction is None:
+        floor.pooling.seen(session, bool(session.values or statement.prepared), now)
     plan = ""
     if transaction:
         plan = transaction.rule.plans["begin_read" if transaction.mode == "begin_read" else "begin"]
@@ -41,9 +47,12 @@
     rule = floor.rules.get(session.database)
     if session.transaction:
         floor.reply(session, ["ERR MALFORMED a transaction is open"], now)
+    elif denial := floor.gate.denies(session, session.database, REQUEST):
+        floor.reply(session, [denial], now)
     elif rule is None:
         floor.reply(session, ["ERR NODB the database is no longer there"], now)
     else:
+        floor.pooling.seen(session, True, now)
         session.transaction = Transaction(rule, statement.sort, now)
         floor.reply(session, ["DONE -"], now)
 
@@ -92,6 +101,7 @@
         floor.reply(session, ["ERR TOOLONG too many session values"], now)
         return
     session.values[statement.name] = statement.rest
+    session.mode = "transaction"
     floor.reply(session, ["DONE -"], now)
 
 
@@ -106,6 +116,7 @@
         floor.reply(session, ["ERR TOOLONG too many prepared names"], now)
         return
     session.names[statement.name] = statement.prepared
+    session.mode = "transaction"
     floor.reply(session, ["DONE -"], now)
 
 
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -12,7 +12,9 @@
 from ..courier.messages import Follow, Hello, Intent, MemberBeat, Pending, RegistrarBeat, Verdict
 from ..ledger.log import Ledger
 from . import admin, ctl, voters
+from .access import Stamps
 from .caretaker import mind_backends
+from .pooling import hear_minds
 from .spool import take_intent, take_verdict
 from .office import Office
 
@@ -22,11 +24,14 @@
 PEER_DIAL_S = 0.35
 DISK_PAUSE_S = 0.25
 FLIPPED_S = 0.4
+COUNT_S = 0.1
 
 
 class Shell:
     """One running registrar."""
 
+    counted, counted_at = 1, -1e9      # the members of the whole fleet, and when they were counted
+
     def __init__(self, settings: Settings):
         self.settings = settings
         self.most_blueprint = 4 << 20
@@ -190,7 +195,7 @@
         """
         tune(sock._socket)
         link = Link(sock)
-        link.parent, link.shared_at, link.leaving = "", 0.0, False
+        link.parent, link.shared_at, link.leaving, link.stamps = "", 0.0, False, Stamps()
         link.report, link.reported_at = None, -1e9
         try:
             async for message in link.messages():
@@ -236,6 +241,8 @@
         if not isinstance(message, MemberBeat):
             return
         link.leaving = message.leaving
+        link.stamps.hear(message.stamp, now)
+        hear_minds(office, message.minds)
         office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes,
                             message.digest.listeners, link.peer.life)
         self.counters[node] = link
@@ -259,12 +266,13 @@
         """
         office = self.office
         registrars = [f"{ip}:{self.port}" for ip in [self.settings.ip, *office.others()]]
-        members = max(1, office.members.count(now))
+        if now - self.counted_at >= COUNT_S:         # all members are looked at: not for each counter's beat
+            self.counted, self.counted_at = max(1, office.members.count(now)), now
         sightings = office.roster.sightings(link.shared_at, now)
         link.shared_at = now
         link.send(RegistrarBeat(
-            office.board.digest(), members, link.parent, registrars, sightings, want_report, level,
-            office.settled(now)))
+            office.board.digest(), self.counted, link.parent, registrars, sightings, want_report, level,
+            office.settled(now), link.stamps.confirmed(office.readings.read_at)))
 
     def announce(self, message: Pending) -> None:
         """Passes word of a coming lead to the counters in session here.
