--- a/capacity/fleet.py
+++ b/capacity/fleet.py
@@ -99,7 +99,7 @@
             self.beaters.append(beater)
         self.until("all counters hold all", lambda: all(
             one["attached"] == one["holding"] and one["records"] >= self.backends for one in self.states())
-            and sum(one["attached"] for one in self.states()) == self.counters, 60.0)
+            and sum(one["attached"] for one in self.states()) == self.counters, 120.0)
 
     def until(self, what: str, check, seconds: float = 20.0) -> None:
         """Waits for something to be so."""
@@ -114,7 +114,7 @@
         base, self.ver = self.ver, self.ver + 1
         body = json.dumps({"ver": self.ver, "svcs": [{"name": f"s{n}"} for n in range(max(1, self.routes // 3))], "routes": [
             {"name": f"r{n}", "host": f"h{n * 7919 % 104729}", "svc": f"s{n % max(1, self.routes // 3)}",
-             "tmoMs": 1000 + (n == 0) * self.ver} for n in range(self.routes)]}).encode()
+             "tmoMs": 1000 + (n == 0) * self.ver} for n in range(self.routes)]}, separators=(",", ":")).encode()
         self.until("a blueprint is taken", lambda: call(
             1, "PUT", "/api/config", body, {"If-Match": str(base)}, 20.0)[0] == 200, 40.0)
         return time.monotonic()
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,156 @@
+"""Failover: which plan is drawn, and each plan against what it hears."""
+
+import pytest
+
+from sumacloom.courier.news import Record
+from sumacloom.registrar.failover import (Announce, Ask, Doubt, Fence, Look, Promote, Rest, draw_plan, hand_over,
+                                          look_over, read_row, replace_dead)
+
+
+
+
+# ---------------------------------------------------------------- failover
+def backend(name, **fields):
+    return Record(name, "s", "10.0.1.1:80", fields.pop("zone", "a"), **fields)
+
+
+def play(plan, outcomes):
+    """Walks a plan; `outcomes` maps (name, first word) to what comes back. Gives what was asked, and the end."""
+    asked = []
+    try:
+        commands = next(plan)
+        for _batch in range(200):
+            results = {}
+            for command in commands:
+                if isinstance(command, Ask):
+                    asked.append((command.backend.name, command.text))
+                    results[command] = outcomes.get((command.backend.name, command.text.split()[0]))
+                elif isinstance(command, Promote):
+                    asked.append(("platform", command.backend))
+                    statuses = outcomes.get("promote", [200])
+                    results[command] = statuses.pop(0) if len(statuses) > 1 else statuses[0]
+                elif isinstance(command, Fence):
+                    asked.append(("register", "fence"))
+                    results[command] = outcomes.get("fence", True)
+                elif isinstance(command, Look):
+                    results[command] = outcomes.get("there", {"p", "q", "r"})
+                else:
+                    assert isinstance(command, (Rest, Announce, Doubt))
+                    results[command] = None
+            commands = plan.send(results)
+    except StopIteration as end:
+        return asked, end.value
+    raise AssertionError("the plan never ended")
+
+
+def row(role, term, position, lag=0, held=0):
+    return read_row(f"{role} {term} {position} {held} {lag} 0 0")
+
+
+class Turning(dict):
+    """Outcomes that change from one asking to the next: a list is used up but for its last."""
+
+    def get(self, key, default=None):
+        found = super().get(key, default)
+        if isinstance(found, list) and key != "promote":
+            return found.pop(0) if len(found) > 1 else found[0]
+        return found
+
+
+P, Q, R = backend("p", role="primary"), backend("q"), backend("r", zone="b")
+DEAD = [
+    # (sync, outcomes, promoted)
+    (0, {("q", "STAT"): row("replica", 3, "3.9"), ("r", "STAT"): row("replica", 3, "3.8")}, ["q"]),
+    (0, {("q", "STAT"): row("replica", 3, "3.9"), ("r", "STAT"): row("replica", 4, "4.1")}, ["r"]),
+    (0, {("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.9")}, []),
+    (0, {("r", "STAT"): row("primary", 4, "4.2"), ("q", "STAT"): row("replica", 3, "3.9")}, []),
+    (0, {}, []),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4)}, []),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4),
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}, ["r"]),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4),      # a pause not taken
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=0)}, []),
+    (1, {("q", "STAT"): row("replica", 3, "3.9"), ("q", "PAUSE"): row("replica", 3, "3.9", held=4), "there": {"q", "r", "new"},
+         ("r", "STAT"): row("replica", 3, "3.9"), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}, []),
+    (0, {("q", "STAT"): row("replica", 3, "3.9"), "promote": [0]}, ["q"]),    # unclear: a fresh look comes first
+    (0, {("q", "STAT"): row("replica", 3, "3.9"), "promote": [409]}, ["q"]),
+]
+
+
+@pytest.mark.parametrize("sync, outcomes, promoted", DEAD)
+def test_replacing_a_dead_primary(sync, outcomes, promoted):
+    asked, _leads = play(replace_dead("s", P, [Q, R], sync), {**outcomes})
+    assert [name for who, name in asked if who == "platform"] == promoted
+    if sync:                                                   # positions stand still before the draw
+        assert all(text.startswith("PAUSE 4") for _name, text in asked if text.startswith("PAUSE"))
+
+
+FROZEN = {("q", "PAUSE"): row("replica", 3, "3.9", held=4), ("r", "PAUSE"): row("replica", 3, "3.11", held=4)}
+STILL = {**FROZEN, ("q", "STAT"): row("replica", 3, "3.9")}
+
+
+def test_with_sync_acks_nothing_is_received_before_the_new_one_leads():
+    """Found with syncAcks 1: CONT went out before the promotion took effect, the returned primary's
+    commit was received and acknowledged, and the promoted log lacked it."""
+    turning = Turning({**STILL, ("r", "STAT"): [row("replica", 3, "3.9")] * 4 + [row("primary", 4, "3.11")]})
+    asked, leads = play(replace_dead("s", P, [Q, R], 1), turning)
+    assert leads == "r" and asked[-1] == ("q", "CONT")
+    assert asked.index(("platform", "r")) < asked.index(("q", "CONT")) - 3
+
+
+@pytest.mark.parametrize("status", [0, 503, 429, 409])
+def test_with_sync_acks_an_unclear_call_leaves_the_replicas_frozen(status):
+    outcomes = {**STILL, ("r", "STAT"): row("replica", 3, "3.9"), "promote": [status]}
+    asked, leads = play(replace_dead("s", P, [Q, R], 1), outcomes)
+    assert not leads and not [text for _who, text in asked if text == "CONT"]
+
+
+def test_after_an_unclear_call_the_fence_rises_before_anything_thaws():
+    """The old primary is back and leads; the earlier call may yet land, so it is fenced off first."""
+    outcomes = {("p", "STAT"): row("primary", 3, "3.12"), ("q", "STAT"): row("replica", 3, "3.9", held=4),
+                ("r", "STAT"): row("replica", 3, "3.11", held=4)}
+    for plan in (replace_dead("s", P, [Q, R], 1, True), look_over("s", [P, Q, R])):
+        asked, leads = play(plan, dict(outcomes))
+        order = [asked.index(step) for step in (("register", "fence"), ("platform", "p"), ("q", "CONT"))]
+        assert leads == "p" and order == sorted(order)
+    asked, _leads = play(look_over("s", [P, Q, R]), {**outcomes, "promote": [0]})
+    assert not [text for _who, text in asked if text == "CONT"]
+    asked, _leads = play(look_over("s", [P, Q, R]), {**outcomes, "fence": False})
+    assert asked == [("register", "fence")]
+
+
+HANDED = [
+    ({("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.8"),
+      ("p", "STEPDOWN"): row("replica", 4, "3.8")}, ["q"], True),
+    ({("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.8"), ("p", "STEPDOWN"): "BUSY"}, [], True),
+    ({("p", "STAT"): row("replica", 4, "3.9"), ("q", "STAT"): row("replica", 3, "3.9")}, ["q"], False),
+    ({("p", "STAT"): row("primary", 3, "3.900"), ("q", "STAT"): row("replica", 3, "3.8")}, [], False),
+    ({("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.8"),
+      ("p", "STEPDOWN"): row("replica", 4, "3.9")}, ["p"], True),        # nobody catches up: it leads on
+    ({("q", "STAT"): row("primary", 4, "4.1"), ("p", "STAT"): row("replica", 4, "3.9")}, [], False),
+]
+
+
+@pytest.mark.parametrize("outcomes, promoted, steps_down", HANDED)
+def test_handing_over_in_order(outcomes, promoted, steps_down):
+    asked, _leads = play(hand_over("s", P, [Q]), {**outcomes})
+    assert [name for who, name in asked if who == "platform"] == promoted
+    assert any(text == "STEPDOWN 4" for _who, text in asked) == steps_down
+
+
+DRAWN = [
+    ([P, Q, R], [], {}, None),
+    ([P, Q, R], [], {"p": 9.0}, "replace_dead"),
+    ([P, Q, R], [], {"p": 9.9}, None),
+    ([backend("p", role="primary", phase="draining"), Q], [], {}, "hand_over"),
+    ([P, Q, R], ["a"], {}, "hand_over"),
+    ([P, Q], ["a"], {}, None),
+    ([P, backend("n", role="primary"), Q], [], {"p": 9.0}, None),
+    ([Q, R], [], {}, "replace_dead"),
+]
+
+
+@pytest.mark.parametrize("records, zones, dark, expected", DRAWN)
+def test_which_plan_is_drawn(records, zones, dark, expected):
+    drawn = draw_plan("s", records, zones, dark.get, 0, 10.0, 0.5, 9.0)
+    assert (drawn and drawn[0]) == expected
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -90,6 +90,24 @@
         raise SystemExit(f"trial: access commands ended with {codes} and {wrong}")
 
 
+async def try_pooling():
+    """Pins a database's mode, and looks whether all nodes hold it; wrong orders end badly and change nothing."""
+    if await fleet("pooling", "set", "search", "statement"):
+        raise SystemExit("trial: the mode was not pinned")
+
+    async def agreed():
+        return await fleet("pooling", "show", "--nodes") == 0
+    await until("all nodes hold the pinned mode", agreed)
+    await talk(1, "search", "FETCH a", "BEGIN", "FETCH a", "COMMIT")
+    rows = await shown("pooling", "show")
+    if [(row["database"], row["mode"], row["judged"]) for row in rows] != [("search", "statement", False)]:
+        raise SystemExit(f"trial: the modes are {rows}")
+    wrong = [await fleet("pooling", "set", "search", "session"), await fleet("pooling", "set", "nowhere", "auto"),
+             await fleet("pooling", "set", "search", "auto", "--base", "0")]
+    if 0 in wrong or await fleet("pooling", "show", "--sessions") or await fleet("pooling", "set", "search", "auto"):
+        raise SystemExit(f"trial: pooling commands ended with {wrong}")
+
+
 async def trial(service: Service, processes: dict, folder: str):
     """A short day."""
     path = os.path.join(folder, "blueprint.json")
@@ -112,6 +130,7 @@
     if await fleet("lane", "set", "books") or await fleet("lanes") or await fleet("lane", "clear"):
         raise SystemExit("trial: the lane did not come into force")
     await try_access(folder)
+    await try_pooling()
     wrong_way = {**BLUEPRINT, "ver": 5, "svcs": [*BLUEPRINT["svcs"], {"name": "elsewhere"}],
                  "routes": [{**BLUEPRINT["routes"][0], "svc": "elsewhere"}, BLUEPRINT["routes"][1]]}
     with open(path, "w", encoding="utf-8") as file:
