Panel is a Configuration: who votes, in the field's own term

One concept: the set of voters that a round counts by (joint while old is not empty). carried is has_quorum, met is meets_every_quorum, Panelled is Reconfigured; the record's name on disk stays.

--- a/sumacloom/agreement/acceptor.py
+++ b/sumacloom/agreement/acceptor.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from ..common.types import NO_BALLOT, Ballot
-from .configuration import Panel
-from .messages import Accept, Accepted, Copy, Panelled, Prepare, Promise, Query, Refused, Told
+from .configuration import Configuration
+from .messages import Accept, Accepted, Copy, Reconfigured, Prepare, Promise, Query, Refused, Told
 
 
 class Slot(NamedTuple):
@@ -20,21 +20,21 @@
 class Acceptor:
     """A voter's memory. `learned` is false while a lost disk is being made good; then it keeps silent.
 
-    >>> acceptor = Acceptor(Panel(1, (), ("a",)), 1)
+    >>> acceptor = Acceptor(Configuration(1, (), ("a",)), 1)
     >>> reply, writes = acceptor.hear(Prepare("k", Ballot(1, "a", 0), NO_BALLOT))
     >>> reply.accepted == NO_BALLOT, writes
     (True, ['k'])
     """
 
-    def __init__(self, panel: Panel, incarnation: int, learned: bool = True):
-        self.panel, self.incarnation, self.learned = panel, incarnation, learned
+    def __init__(self, configuration: Configuration, incarnation: int, learned: bool = True):
+        self.configuration, self.incarnation, self.learned = configuration, incarnation, learned
         self.slots: dict[str, Slot] = {}
         self.floor = NO_BALLOT           # promised for every key, to one that had lost its memory
 
     def slot(self, key: str) -> Slot:
         """What is held of a key.
 
-        >>> Acceptor(Panel(1, (), ("a",)), 1).slot("k") == Slot()
+        >>> Acceptor(Configuration(1, (), ("a",)), 1).slot("k") == Slot()
         True
         """
         return self.slots.get(key) or Slot(promised=self.floor)
@@ -44,15 +44,15 @@
 
         Who counts by other voters is told ours and gets no vote: it learns the newer, or tells us its own.
 
-        >>> Acceptor(Panel(1, (), ("a",)), 1, learned=False).hear(Query("k", NO_BALLOT, NO_BALLOT))
+        >>> Acceptor(Configuration(1, (), ("a",)), 1, learned=False).hear(Query("k", NO_BALLOT, NO_BALLOT))
         (None, [])
-        >>> Acceptor(Panel(2, (), ("a",)), 1).hear(Query("k", NO_BALLOT, NO_BALLOT))[0].panel.generation
+        >>> Acceptor(Configuration(2, (), ("a",)), 1).hear(Query("k", NO_BALLOT, NO_BALLOT))[0].configuration.generation
         2
         """
         if not self.learned:
             return None, []
-        if message.panel != self.panel.generation:
-            return Panelled(self.panel), []
+        if message.configuration != self.configuration.generation:
+            return Reconfigured(self.configuration), []
         slot = self.slot(message.key)
         if isinstance(message, Query):
             value = None if message.known == slot.accepted else slot.value
@@ -76,7 +76,7 @@
     def mend(self, key: str, ballot: Ballot, value: bytes) -> list[str]:
         """Takes a decided value into an old copy; gives the keys to write.
 
-        >>> Acceptor(Panel(1, (), ("a",)), 1).mend("k", Ballot(1, "a", 0), b"v")
+        >>> Acceptor(Configuration(1, (), ("a",)), 1).mend("k", Ballot(1, "a", 0), b"v")
         ['k']
         """
         slot = self.slot(key)
@@ -88,7 +88,7 @@
     def raise_floor(self, barrier: Ballot) -> list[str]:
         """Promises a ballot for every key; gives the keys to write.
 
-        >>> acceptor = Acceptor(Panel(1, (), ("a",)), 1); acceptor.raise_floor(Ballot(4, "b", 0)); acceptor.slot("k").promised.round
+        >>> acceptor = Acceptor(Configuration(1, (), ("a",)), 1); acceptor.raise_floor(Ballot(4, "b", 0)); acceptor.slot("k").promised.round
         []
         4
         """
@@ -102,12 +102,12 @@
     def tell(self) -> Told | None:
         """Everything, for a voter that lost its memory; nothing while this one is learning itself.
 
-        >>> Acceptor(Panel(1, (), ("a",)), 1).tell().slots
+        >>> Acceptor(Configuration(1, (), ("a",)), 1).tell().slots
         []
         """
         if not self.learned:
             return None
-        return Told(self.panel, [(key, *slot) for key, slot in self.slots.items()], self.floor)
+        return Told(self.configuration, [(key, *slot) for key, slot in self.slots.items()], self.floor)
 
     def learn(self, tales: dict[str, Told], barrier: Ballot = NO_BALLOT) -> list[str] | None:
         """Adopts the highest value per key once enough others told; gives the keys to write.
@@ -116,20 +116,20 @@
         teller refuses whatever is below our barrier and had promised nothing above it: else a vote that we
         gave before our loss could still be counted together with one that the teller gives after its tale.
 
-        >>> panel = Panel(1, (), ("a", "b", "c")); acceptor = Acceptor(panel, 1, learned=False)
-        >>> acceptor.learn({"b": Told(panel, [])}) is None, acceptor.learn({"b": Told(panel, []), "c": Told(panel, [])})
+        >>> configuration = Configuration(1, (), ("a", "b", "c")); acceptor = Acceptor(configuration, 1, learned=False)
+        >>> acceptor.learn({"b": Told(configuration, [])}) is None, acceptor.learn({"b": Told(configuration, []), "c": Told(configuration, [])})
         (True, [])
         """
         if self.learned or not tales:
             return None
-        newest = max([self.panel, *(told.panel for told in tales.values())], key=lambda panel: panel.generation)
+        newest = max([self.configuration, *(told.configuration for told in tales.values())], key=lambda configuration: configuration.generation)
         sure = {
             voter: told for voter, told in tales.items()
             if told.floor == barrier and all(Ballot(*promised) == barrier for _key, promised, *_rest in told.slots)
         }
-        if not newest.met(sure):
+        if not newest.meets_every_quorum(sure):
             return None
-        self.panel, self.floor = newest, barrier
+        self.configuration, self.floor = newest, barrier
         for told in tales.values():
             for key, _promised, accepted, value in told.slots:
                 slot = self.slot(key)
--- a/sumacloom/agreement/hearing.py
+++ b/sumacloom/agreement/hearing.py
@@ -2,7 +2,7 @@
 
 from ..common.logs import Scribe
 from ..common.types import NO_BALLOT, Ballot
-from .messages import (Accept, Accepted, Copy, Decided, Fetch, Panelled, Prepare, Promise, Query, Refused, Settled,
+from .messages import (Accept, Accepted, Copy, Decided, Fetch, Reconfigured, Prepare, Promise, Query, Refused, Settled,
                        Tell, Told)
 
 scribe = Scribe("office")
@@ -81,18 +81,18 @@
     office.settle(message.key, message.ballot, message.value, now)
 
 
-@hears(Panelled)
-def hear_panel(office, peer: str, message, now: float) -> None:
+@hears(Reconfigured)
+def hear_configuration(office, peer: str, message, now: float) -> None:
     """A peer counts by other voters: we take the newer ones, or tell ours.
 
-    >>> HEARERS[Panelled] is hear_panel
+    >>> HEARERS[Reconfigured] is hear_configuration
     True
     """
-    if message.panel.generation < office.acceptor.panel.generation:
+    if message.configuration.generation < office.acceptor.configuration.generation:
         if office.acceptor.learned:
-            office.release(peer, Panelled(office.acceptor.panel))
+            office.release(peer, Reconfigured(office.acceptor.configuration))
     else:
-        office.take_panel(message.panel, now)
+        office.take_configuration(message.configuration, now)
 
 
 @hears(Tell)
--- a/sumacloom/agreement/membership.py
+++ b/sumacloom/agreement/membership.py
@@ -6,7 +6,7 @@
 """
 from ..common.logs import Scribe
 from ..common.results import Err, Ok, mishap
-from .configuration import Panel
+from .configuration import Configuration
 from .values import KEYS, decode, encode
 
 scribe = Scribe("voters")
@@ -24,17 +24,17 @@
         self.generation, self.stage, self.proposals = generation, 0, []
 
 
-def follow_on(panel: Panel):
+def follow_on(configuration: Configuration):
     """The change to the voters of the next generation; it fails if another change was faster.
 
-    >>> follow_on(Panel(2, ("a",), ("b",)))(None).is_ok(), follow_on(Panel(3, (), ("b",)))(None).err().name
+    >>> follow_on(Configuration(2, ("a",), ("b",)))(None).is_ok(), follow_on(Configuration(3, (), ("b",)))(None).err().name
     (True, 'stale_match')
     """
     def change(current_bytes):
-        current = decode(Panel, current_bytes)
-        if (current.generation if current else FIRST) != panel.generation - 1:
+        current = decode(Configuration, current_bytes)
+        if (current.generation if current else FIRST) != configuration.generation - 1:
             return Err(mishap("stale_match", "the voters have changed meanwhile"))
-        return Ok(encode(panel))
+        return Ok(encode(configuration))
     return change
 
 
@@ -53,7 +53,7 @@
     >>> newcomers.__name__
     'newcomers'
     """
-    voting = office.acceptor.panel.new
+    voting = office.acceptor.configuration.new
     return {
         peer for peer, (_heard, beat) in office.peers.items()
         if peer not in voting and office.alive(peer, now) and beat.voting and beat.learned
@@ -66,8 +66,8 @@
     >>> may_go.__name__
     'may_go'
     """
-    panel = office.acceptor.panel
-    return office.me not in panel.members or len(panel.new) <= least(office) or not office.heard_majority(now)
+    configuration = office.acceptor.configuration
+    return office.me not in configuration.members or len(configuration.new) <= least(office) or not office.heard_majority(now)
 
 
 def watch_voices(office, now: float) -> None:
@@ -76,12 +76,12 @@
     >>> watch_voices.__name__
     'watch_voices'
     """
-    panel = office.acceptor.panel
-    living = [peer for peer in panel.members if office.alive(peer, now)]
-    for voter in panel.new:
+    configuration = office.acceptor.configuration
+    living = [peer for peer in configuration.members if office.alive(peer, now)]
+    for voter in configuration.new:
         deaf = [peer for peer in living if not office.alive(voter, now)
                 and (peer == office.me or voter not in office.peers[peer][1].hears)]
-        if panel.carried(deaf):
+        if configuration.has_quorum(deaf):
             office.unheard.setdefault(voter, now)
         else:
             office.unheard.pop(voter, None)
@@ -93,11 +93,11 @@
     >>> wanted.__name__
     'wanted'
     """
-    panel = office.acceptor.panel
+    configuration = office.acceptor.configuration
     fresh = newcomers(office, now)
-    target = {*panel.new, *fresh}
+    target = {*configuration.new, *fresh}
     bound = SWAP_S if fresh else UNHEARD_S
-    gone = sorted(voter for voter in panel.new if now - office.unheard.get(voter, now) >= bound or leaves(office, voter))
+    gone = sorted(voter for voter in configuration.new if now - office.unheard.get(voter, now) >= bound or leaves(office, voter))
     return tuple(sorted(target - set(gone[:max(0, len(target) - least(office))])))
 
 
@@ -128,7 +128,7 @@
     """
     if office.need[0] != need:
         office.need = (need, now)
-    line = [peer for peer in office.acceptor.panel.members if office.alive(peer, now)]
+    line = [peer for peer in office.acceptor.configuration.members if office.alive(peer, now)]
     return now - office.need[1] >= wait_s + STAGGER_S * line.index(office.me)
 
 
@@ -138,24 +138,24 @@
     >>> mind_voters.__name__
     'mind_voters'
     """
-    panel = office.acceptor.panel
+    configuration = office.acceptor.configuration
     if not office.votes:
         return
     watch_voices(office, now)
-    living = [peer for peer in panel.members if office.alive(peer, now)]
-    if not panel.carried(living) or any(proposal.key == KEY for proposal in office.proposals):
+    living = [peer for peer in configuration.members if office.alive(peer, now)]
+    if not configuration.has_quorum(living) or any(proposal.key == KEY for proposal in office.proposals):
         return
-    if panel.old:
-        if our_turn(office, panel.generation, 0.0, now):
+    if configuration.old:
+        if our_turn(office, configuration.generation, 0.0, now):
             settle_move(office, now)
         return
     target = wanted(office, now)
-    if target == tuple(sorted(panel.new)):
+    if target == tuple(sorted(configuration.new)):
         office.need = (None, now)
-    elif our_turn(office, target, TOGETHER_S, now) and Panel(0, (), target).carried(
+    elif our_turn(office, target, TOGETHER_S, now) and Configuration(0, (), target).has_quorum(
             [voter for voter in target if office.alive(voter, now)]):
         scribe.say("the voters are to be %s", ", ".join(target))
-        office.propose(KEY, follow_on(Panel(panel.generation + 1, panel.new, target)), now)
+        office.propose(KEY, follow_on(Configuration(configuration.generation + 1, configuration.new, target)), now)
 
 
 def settle_move(office, now: float) -> None:
@@ -164,10 +164,10 @@
     >>> settle_move.__name__
     'settle_move'
     """
-    panel, move = office.acceptor.panel, office.move
-    if move is None or move.generation != panel.generation or any(
+    configuration, move = office.acceptor.configuration, office.move
+    if move is None or move.generation != configuration.generation or any(
             proposal.outcome is not None and proposal.outcome.is_err() for proposal in move.proposals):
-        move = office.move = Move(panel.generation)
+        move = office.move = Move(configuration.generation)
     if any(proposal.outcome is None for proposal in move.proposals):
         return
     stages = ([KEY], [key for key in KEYS if key != KEY], [key for key in office.keys() if key not in KEYS])     # the listeners name the feeds
@@ -176,7 +176,7 @@
         move.stage += 1
         move.proposals = [office.propose(key, again, now) for key in keys]
     else:
-        office.propose(KEY, follow_on(Panel(panel.generation + 1, (), panel.new)), now)
+        office.propose(KEY, follow_on(Configuration(configuration.generation + 1, (), configuration.new)), now)
 
 
 def rows(office, node: str, now: float) -> dict:
@@ -185,12 +185,12 @@
     >>> rows.__name__
     'rows'
     """
-    panel = office.acceptor.panel
+    configuration = office.acceptor.configuration
     if not office.acceptor.learned:
         why = "learning: its disk held no whole memory"
-    elif office.me in panel.members:
-        why = "joint: both sets decide" if panel.old else "votes"
+    elif office.me in configuration.members:
+        why = "joint: both sets decide" if configuration.old else "votes"
     else:
         why = "comes in" if office.settings.voting else "its settings say voting = false"
-    return {"voters_generation": panel.generation, "voters": ",".join(panel.new), "leaving_voters": ",".join(
-        voter for voter in panel.old if voter not in panel.new), "standing": why}
+    return {"voters_generation": configuration.generation, "voters": ",".join(configuration.new), "leaving_voters": ",".join(
+        voter for voter in configuration.old if voter not in configuration.new), "standing": why}
--- a/sumacloom/agreement/messages.py
+++ b/sumacloom/agreement/messages.py
@@ -2,7 +2,7 @@
 import msgspec
 
 from ..common.types import NO_BALLOT, Ballot
-from .configuration import Panel
+from .configuration import Configuration
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -13,7 +13,7 @@
     key: str
     ballot: Ballot
     known: Ballot
-    panel: int = 1               # the generation of the voters that the proposer counts by
+    configuration: int = 1               # the generation of the voters that the proposer counts by
 
 
 class Promise(Message):
@@ -29,7 +29,7 @@
     ballot: Ballot
     value: bytes
     incarnation: int
-    panel: int = 1
+    configuration: int = 1
 
 
 class Accepted(Message):
@@ -47,7 +47,7 @@
     key: str
     ballot: Ballot               # names the reading
     known: Ballot
-    panel: int = 1
+    configuration: int = 1
 
 
 class Copy(Message):
@@ -76,10 +76,10 @@
     value: bytes
 
 
-class Panelled(Message):
+class Reconfigured(Message):
     """Who votes now, for one that counts by other voters; always decided."""
 
-    panel: Panel
+    configuration: Configuration
 
 
 class Tell(Message):
@@ -89,6 +89,6 @@
 
 
 class Told(Message):
-    panel: Panel
+    configuration: Configuration
     slots: list[tuple[str, Ballot, Ballot, bytes | None]]
     floor: Ballot = NO_BALLOT    # what the teller promised for every key
--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -8,7 +8,7 @@
 from ..common.settings import Settings, split_address
 from ..common.types import NO_BALLOT, Ballot
 from . import membership, storage
-from .configuration import Panel
+from .configuration import Configuration
 from .hearing import HEARERS, KNOWN_S
 from .messages import Decided, Prepare, Tell
 from .proposer import Ballots, Proposal
@@ -50,7 +50,7 @@
         'take'
         """
         if key == membership.KEY:
-            self.take_panel(decode(Panel, value), now)
+            self.take_configuration(decode(Configuration, value), now)
 
     def keys(self) -> list[str]:
         """The keys of all registers that are in use, the voters among them.
@@ -162,7 +162,7 @@
         >>> Node.votes.fget.__name__
         'votes'
         """
-        return self.acceptor.learned and self.me in self.acceptor.panel.members
+        return self.acceptor.learned and self.me in self.acceptor.configuration.members
 
     def heard_majority(self, now: float) -> bool:
         """Whether enough voters are heard, and hear us, to decide anything.
@@ -170,9 +170,9 @@
         >>> Node.heard_majority.__name__
         'heard_majority'
         """
-        panel = self.acceptor.panel
-        return panel.carried([
-            peer for peer in panel.members
+        configuration = self.acceptor.configuration
+        return configuration.has_quorum([
+            peer for peer in configuration.members
             if peer == self.me or (self.alive(peer, now) and self.me in self.peers[peer][1].hears)])
 
     def propose(self, key: str, change, now: float, reading: bool = False) -> Proposal:
@@ -184,7 +184,7 @@
         self.now = now
         slot = self.acceptor.slot(key)
         known = (slot.accepted, slot.value)
-        proposal = Proposal(key, change, self.acceptor.panel, known, self.ballots, now, reading=reading)
+        proposal = Proposal(key, change, self.acceptor.configuration, known, self.ballots, now, reading=reading)
         if not self.acceptor.learned:
             proposal.outcome = Err(mishap("rejoining"))
             return proposal
@@ -245,21 +245,21 @@
         self.take(key, value, now)
         return True
 
-    def take_panel(self, panel: Panel, now: float) -> None:
+    def take_configuration(self, configuration: Configuration, now: float) -> None:
         """Newer voters, already decided: we vote among them alone, and our proposals begin again.
 
-        >>> Node.take_panel.__name__
-        'take_panel'
+        >>> Node.take_configuration.__name__
+        'take_configuration'
         """
-        if panel.generation <= self.acceptor.panel.generation:
+        if configuration.generation <= self.acceptor.configuration.generation:
             return
-        self.acceptor.panel = panel
+        self.acceptor.configuration = configuration
         if self.acceptor.learned:
             self.storage.write([storage.meta_record(self.acceptor)])
-        scribe.say("the voters %d are %s%s", panel.generation, ", ".join(panel.new),
-                   f", jointly with {', '.join(panel.old)}" if panel.old else "")
+        scribe.say("the voters %d are %s%s", configuration.generation, ", ".join(configuration.new),
+                   f", jointly with {', '.join(configuration.old)}" if configuration.old else "")
         for proposal in list(self.proposals):
-            self.post(proposal.count_by(panel, now), now)
+            self.post(proposal.count_by(configuration, now), now)
             self.conclude(proposal, now)
 
     def hear(self, peer: str, message, now: float) -> None:
@@ -281,7 +281,7 @@
         """
         if not self.heard_majority(now) or not self.acceptor.learned:
             return False
-        living = [peer for peer in self.acceptor.panel.members if self.alive(peer, now)]
+        living = [peer for peer in self.acceptor.configuration.members if self.alive(peer, now)]
         told = [self.peers[peer][1].decided or {} for peer in living if peer != self.me]
         mine = {key: self.decided.get(key, (NO_BALLOT,))[0] for key in self.keys()}
         return all(self.acceptor.slot(key).accepted <= mine[key] for key in mine) and not any(
@@ -307,7 +307,7 @@
         'others'
         """
         known = [peer for peer, named in self.known.items() if self.now - named < KNOWN_S]
-        return sorted({*self.seeds, *self.acceptor.panel.members, *known} - {self.me})
+        return sorted({*self.seeds, *self.acceptor.configuration.members, *known} - {self.me})
 
     def tell_all(self, message) -> None:
         """A message to every other registrar.
--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -6,7 +6,7 @@
 
 from ..common.results import Err, Ok, mishap
 from ..common.types import NO_BALLOT, Ballot
-from .configuration import Panel
+from .configuration import Configuration
 from .messages import Accept, Copy, Prepare, Promise, Query, Refused
 
 RESEND_S = 0.1
@@ -20,8 +20,8 @@
     what is known to be decided, even under an Err.
     """
 
-    def __init__(self, key, change, panel, known, ballots, now, cutoff_s=0.85, reading=False):
-        self.key, self.change, self.panel = key, change, panel
+    def __init__(self, key, change, configuration, known, ballots, now, cutoff_s=0.85, reading=False):
+        self.key, self.change, self.configuration = key, change, configuration
         self.known_ballot, self.known_value = known
         self.ballots = ballots
         self.cutoff = now + cutoff_s
@@ -41,15 +41,15 @@
         self.value, self.verdict = None, None
         self.resume_at, self.sent_at = None, now
 
-    def count_by(self, panel: Panel, now: float) -> list[tuple]:
+    def count_by(self, configuration: Configuration, now: float) -> list[tuple]:
         """Other voters than we counted by: a fresh round among them.
 
         >>> Proposal.count_by.__name__
         'count_by'
         """
-        if self.outcome is not None or panel.generation <= self.panel.generation:
+        if self.outcome is not None or configuration.generation <= self.configuration.generation:
             return []
-        self.panel = panel
+        self.configuration = configuration
         self.round = "prepare"
         self.begin(now)
         return self.messages()
@@ -64,12 +64,12 @@
             return []
         if self.round == "accept":
             return [
-                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.panel.generation))
+                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.generation))
                 for voter, promise in self.replies.items() if voter not in self.accepted
             ]
         kind = Query if self.round == "query" else Prepare
-        message = kind(self.key, self.ballot, self.known_ballot, self.panel.generation)
-        return [(voter, message) for voter in self.panel.members if voter not in self.replies]
+        message = kind(self.key, self.ballot, self.known_ballot, self.configuration.generation)
+        return [(voter, message) for voter in self.configuration.members if voter not in self.replies]
 
     def hear(self, voter: str, message, now: float) -> list[tuple]:
         """A voter's reply; gives what to send next.
@@ -82,7 +82,7 @@
         if isinstance(message, Refused):
             self.ballots.saw(message.promised)
             self.refused.add(voter)
-            if not self.panel.carried(set(self.panel.members) - self.refused):
+            if not self.configuration.has_quorum(set(self.configuration.members) - self.refused):
                 self.back_off(now)
             return []
         if isinstance(message, Copy):
@@ -95,10 +95,10 @@
                 return []
             self.replies[voter] = message
             if self.round == "accept":
-                return [(voter, Accept(self.key, self.ballot, self.value, message.incarnation, self.panel.generation))]
+                return [(voter, Accept(self.key, self.ballot, self.value, message.incarnation, self.configuration.generation))]
             return self.promised()
         self.accepted.add(voter)
-        if self.round == "accept" and self.panel.carried(self.accepted):
+        if self.round == "accept" and self.configuration.has_quorum(self.accepted):
             self.decided = (self.ballot, self.value)
             self.outcome = self.verdict or Ok(self.decided)
         return []
@@ -112,7 +112,7 @@
         best = max(self.replies.values(), key=lambda reply: reply.accepted)
         holders = {voter for voter, reply in self.replies.items() if reply.accepted == best.accepted}
         value = self.known_value if best.accepted == self.known_ballot else best.value
-        return Ballot(*best.accepted), value, self.panel.carried(holders)
+        return Ballot(*best.accepted), value, self.configuration.has_quorum(holders)
 
     def read(self, now: float) -> list[tuple]:
         """Enough copies: the value if a majority holds the same, else two rounds that settle it.
@@ -120,7 +120,7 @@
         >>> Proposal.read.__name__
         'read'
         """
-        if not self.panel.carried(self.replies):
+        if not self.configuration.has_quorum(self.replies):
             return []
         ballot, value, settled = self.newest()
         if settled:
@@ -128,7 +128,7 @@
                 self.decided = (ballot, value)
             self.outcome = Ok((ballot, value))
             return []
-        if len(self.replies) < len(self.panel.members) and now < self.sent_at + RESEND_S:
+        if len(self.replies) < len(self.configuration.members) and now < self.sent_at + RESEND_S:
             return []
         self.round = "prepare"
         self.begin(now)
@@ -140,7 +140,7 @@
         >>> Proposal.promised.__name__
         'promised'
         """
-        if not self.panel.carried(self.replies):
+        if not self.configuration.has_quorum(self.replies):
             return []
         ballot, value, settled = self.newest()
         result = self.change(value)
@@ -182,7 +182,7 @@
             return self.messages()
         if now - self.sent_at >= RESEND_S:
             self.sent_at = now
-            if self.round == "query" and self.panel.carried(self.replies):
+            if self.round == "query" and self.configuration.has_quorum(self.replies):
                 return self.read(now)
             return self.messages()
         return []
--- a/sumacloom/agreement/storage.py
+++ b/sumacloom/agreement/storage.py
@@ -12,7 +12,7 @@
 from ..common.results import Err, Ok, mishap
 from ..common.types import NO_BALLOT, Ballot
 from .acceptor import Acceptor, Slot
-from .configuration import Panel
+from .configuration import Configuration
 
 scribe = Scribe("office")
 OTHER_KINDS = {"spooled": 8, "spent": 4, "roster": 2}     # not the acceptor's, and how long such a record is
@@ -120,16 +120,16 @@
 def meta_record(acceptor: Acceptor) -> bytes:
     """The record that says who votes, and in which incarnation; whoever finds it finds all before it.
 
-    >>> meta_record(Acceptor(Panel(1, (), ("a",)), 1))[:6]
+    >>> meta_record(Acceptor(Configuration(1, (), ("a",)), 1))[:6]
     b'\\x93\\xa4meta'
     """
-    return msgspec.msgpack.encode(("meta", acceptor.panel, acceptor.incarnation))
+    return msgspec.msgpack.encode(("meta", acceptor.configuration, acceptor.incarnation))
 
 
 def slot_record(acceptor: Acceptor, key: str, promise_only: bool = False) -> bytes:
     """The record of one key.
 
-    >>> slot_record(Acceptor(Panel(1, (), ("a",)), 1), "k")[:6]
+    >>> slot_record(Acceptor(Configuration(1, (), ("a",)), 1), "k")[:6]
     b'\\x95\\xa4slot'
     """
     slot = acceptor.slot(key)
@@ -139,7 +139,7 @@
 def floor_record(acceptor: Acceptor) -> bytes:
     """The record of the promise that holds for every key.
 
-    >>> floor_record(Acceptor(Panel(1, (), ("a",)), 1))[:7]
+    >>> floor_record(Acceptor(Configuration(1, (), ("a",)), 1))[:7]
     b'\\x92\\xa5floor'
     """
     return msgspec.msgpack.encode(("floor", acceptor.floor))
@@ -148,21 +148,21 @@
 def whole(acceptor: Acceptor) -> list[bytes]:
     """Everything, for a capture or after learning; the meta record comes last.
 
-    >>> len(whole(Acceptor(Panel(1, (), ("a",)), 1)))
+    >>> len(whole(Acceptor(Configuration(1, (), ("a",)), 1)))
     2
     """
     return [floor_record(acceptor), *(slot_record(acceptor, key) for key in acceptor.slots), meta_record(acceptor)]
 
 
-def read_panel(found) -> Panel:
+def read_configuration(found) -> Configuration:
     """The voters of a record; records of the first version name three seeds and no generation.
 
-    >>> read_panel(["a", "b"]) == read_panel([1, [], ["a", "b"]])
+    >>> read_configuration(["a", "b"]) == read_configuration([1, [], ["a", "b"]])
     True
     """
     if all(isinstance(voter, str) for voter in found):
-        return Panel(1, (), tuple(found))
-    return msgspec.convert(found, Panel)
+        return Configuration(1, (), tuple(found))
+    return msgspec.convert(found, Configuration)
 
 
 def open_acceptor(payloads: list[bytes], others: list | None = None):
@@ -173,7 +173,7 @@
     >>> open_acceptor([]).ok().learned, open_acceptor([b"nonsense"]).err().name
     (False, 'ledger_foreign')
     """
-    acceptor = Acceptor(Panel(0, (), ()), 0, learned=False)
+    acceptor = Acceptor(Configuration(0, (), ()), 0, learned=False)
     for payload in payloads:
         try:
             found = msgspec.msgpack.decode(payload)
@@ -189,14 +189,14 @@
 def take_record(acceptor: Acceptor, kind: str, *rest) -> None:
     """Takes one record of the ledger.
 
-    >>> take_record(Acceptor(Panel(0, (), ()), 0), "nonsense")
+    >>> take_record(Acceptor(Configuration(0, (), ()), 0), "nonsense")
     Traceback (most recent call last):
     ValueError: a record of the kind 'nonsense'
     """
     if kind == "meta":
-        acceptor.panel, acceptor.incarnation, acceptor.learned = read_panel(rest[0]), rest[1], True
-    elif kind == "panel":
-        acceptor.panel = read_panel(rest[0])
+        acceptor.configuration, acceptor.incarnation, acceptor.learned = read_configuration(rest[0]), rest[1], True
+    elif kind == "panel":            # its name on disk in the second version
+        acceptor.configuration = read_configuration(rest[0])
     elif kind == "floor":
         acceptor.floor = max(acceptor.floor, Ballot(*rest[0]))
     elif kind == "promise":
@@ -212,15 +212,15 @@
     """What an acceptor just opened becomes: a first start, or a voter that must learn. Gives records to write.
 
     >>> from sumacloom.common.settings import Settings
-    >>> acceptor = Acceptor(Panel(0, (), ()), 0, learned=False)
-    >>> len(after_start(acceptor, Settings("n", "r", "a", "z", bootstrap=True), ["a"], 7, True)), acceptor.panel.new
+    >>> acceptor = Acceptor(Configuration(0, (), ()), 0, learned=False)
+    >>> len(after_start(acceptor, Settings("n", "r", "a", "z", bootstrap=True), ["a"], 7, True)), acceptor.configuration.new
     (2, ('a',))
     """
     if acceptor.learned:
         return []
-    acceptor.panel, acceptor.slots, acceptor.floor = Panel(0, (), tuple(seeds)), {}, NO_BALLOT
+    acceptor.configuration, acceptor.slots, acceptor.floor = Configuration(0, (), tuple(seeds)), {}, NO_BALLOT
     if settings.bootstrap and fresh:
-        acceptor.panel = Panel(1, (), tuple(seeds))
+        acceptor.configuration = Configuration(1, (), tuple(seeds))
         acceptor.incarnation, acceptor.learned = nonce, True
         scribe.say("first start, the voters are %s", ", ".join(seeds))
         return whole(acceptor)
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -3,8 +3,8 @@
 
 import msgspec
 
-from ..agreement.configuration import Panel
-from ..agreement.messages import (Accept, Accepted, Copy, Decided, Fetch, Message, Panelled, Prepare, Promise, Query,
+from ..agreement.configuration import Configuration
+from ..agreement.messages import (Accept, Accepted, Copy, Decided, Fetch, Message, Reconfigured, Prepare, Promise, Query,
                                   Refused, Settled, Tell, Told)
 from ..common.types import Ballot
 from .news import AccessNews, Digest, LaneNews, ListenNews, PoolNews, Record, Sighting
@@ -80,7 +80,7 @@
     learned: bool
     suspects: list[str] = []
     positions: list[Sighting] = []
-    panel: Panel | None = None               # who votes, as this registrar knows; None: as last told
+    configuration: Configuration | None = None               # who votes, as this registrar knows; None: as last told
     voting: bool = False                     # whether its settings say that it counts as a voter
 
 
@@ -167,7 +167,7 @@
 
 
 KINDS = (Hello, MemberBeat, RegistrarBeat, Follow, News, PeerBeat, Prepare, Promise, Accept, Accepted, Refused,
-         Query, Copy, Decided, Fetch, Settled, Panelled, Tell, Told, Inquire, Part, Level, Pending, Intent, Held, Verdict, Noted, Spare,
+         Query, Copy, Decided, Fetch, Settled, Reconfigured, Tell, Told, Inquire, Part, Level, Pending, Intent, Held, Verdict, Noted, Spare,
          SpareHeld)
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Union[KINDS])
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -75,7 +75,7 @@
     """
     office, now = shell.office, shell.now()
     roster, duty = office.roster, office.duty
-    voters = len(office.acceptor.panel.new)
+    voters = len(office.acceptor.configuration.new)
 
     def position(name):
         sight = roster.sighted.get(name)
--- a/sumacloom/registrar/caretaker.py
+++ b/sumacloom/registrar/caretaker.py
@@ -64,7 +64,7 @@
     for record in records.values():
         services.setdefault(record.service, []).append(record)
     known = {service.name: service for service in office.board.blueprint.svcs} if office.board.blueprint else {}
-    voters = len(office.acceptor.panel.new)
+    voters = len(office.acceptor.configuration.new)
     for service, members in services.items():
         if any(record.role == "primary" and record.phase != "gone" for record in members):
             shell.nobody_since.pop(service, None)
--- a/sumacloom/registrar/duties.py
+++ b/sumacloom/registrar/duties.py
@@ -15,20 +15,20 @@
     >>> vacant.__name__
     'vacant'
     """
-    duty, panel = office.duty, office.acceptor.panel
-    living = [peer for peer in panel.members if office.alive(peer, now)]
-    if not panel.carried(living) or now - office.started_at < WARM_UP_S:
+    duty, configuration = office.duty, office.acceptor.configuration
+    living = [peer for peer in configuration.members if office.alive(peer, now)]
+    if not configuration.has_quorum(living) or now - office.started_at < WARM_UP_S:
         return False
     if duty is None or not duty.holder:
         return True
     if duty.holder == office.me:
         return duty.nonce != office.nonce
-    if duty.holder not in panel.members:
+    if duty.holder not in configuration.members:
         return True
     if office.alive(duty.holder, now):
         return False
     deaf = [peer for peer in living if peer == office.me or duty.holder not in office.peers[peer][1].hears]
-    return panel.carried(deaf)
+    return configuration.has_quorum(deaf)
 
 
 def mind_duty(office, now: float) -> None:
@@ -43,7 +43,7 @@
     if office.duty_vacant_since is None:
         office.duty_vacant_since = now
     holder = office.duty.holder if office.duty else ""
-    line = [peer for peer in office.acceptor.panel.members if office.alive(peer, now) and peer != holder]
+    line = [peer for peer in office.acceptor.configuration.members if office.alive(peer, now) and peer != holder]
     place = 0 if holder == office.me else line.index(office.me)
     busy = any(proposal.key == DUTY for proposal in office.proposals)
     if not busy and now - office.duty_vacant_since >= STAGGER_S * place:
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -1,6 +1,6 @@
 """What a registrar does with its peers' heartbeats."""
-from ..agreement.hearing import KNOWN_S, hear_decided, hear_panel, hears
-from ..agreement.messages import Decided, Panelled
+from ..agreement.hearing import KNOWN_S, hear_decided, hear_configuration, hears
+from ..agreement.messages import Decided, Reconfigured
 from ..common.logs import Scribe
 from ..common.types import NO_BALLOT, Ballot
 from ..courier.messages import PeerBeat
@@ -25,8 +25,8 @@
         office.tell_records(office.roster.take_records(message.records, now), now)
     elif message.digest != office.board.known_digest and office.board.records:
         office.outbox.append((peer, office.peer_beat(now, list(office.board.records.values()))))
-    if message.panel:
-        hear_panel(office, peer, Panelled(message.panel), now)
+    if message.configuration:
+        hear_configuration(office, peer, Reconfigured(message.configuration), now)
     for key, ballot in (message.decided or {}).items():
         if Ballot(*ballot) > office.decided.get(key, (NO_BALLOT,))[0]:
             hear_decided(office, peer, Decided(key, Ballot(*ballot)), now)
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -84,7 +84,7 @@
             self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
             [peer for peer in self.others() if self.alive(peer, now)],
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
-            self.acceptor.panel if whole and self.acceptor.learned else None, self.settings.voting,
+            self.acceptor.configuration if whole and self.acceptor.learned else None, self.settings.voting,
         )
 
     def tell_records(self, records: list, now: float) -> None:
@@ -106,7 +106,7 @@
         self.now = now
         if now - self.beaten_at >= PEER_BEAT_S:
             self.beaten_at = now
-            state = (len(self.decided), self.duty, self.acceptor.panel.generation, self.board.lanes.order, self.board.evacuations,
+            state = (len(self.decided), self.duty, self.acceptor.configuration.generation, self.board.lanes.order, self.board.evacuations,
                      sorted(self.members.own_rows()), [self.alive(peer, now) for peer in self.others()])
             whole = state != self.told_state or now - self.told_whole_at >= WHOLE_S
             if whole:
--- a/sumacloom/registrar/taking.py
+++ b/sumacloom/registrar/taking.py
@@ -2,7 +2,7 @@
 from ..agreement import membership
 from ..agreement.values import BlueprintValue, DutyValue, EvacuationsValue, decode
 from ..common.logs import Scribe
-from ..courier.messages import News, Panel
+from ..courier.messages import News, Configuration
 from . import access, duties, lanes, listeners, pooling
 from .feed import Feed
 
@@ -80,7 +80,7 @@
     >>> TAKERS[membership.KEY] is take_voters
     True
     """
-    office.take_panel(decode(Panel, value), now)
+    office.take_configuration(decode(Configuration, value), now)
 
 
 @takes(lanes.KEY)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -6,14 +6,14 @@
 
 
 from sumacloom.common.types import NO_BALLOT, Ballot
-from sumacloom.courier.messages import Accept, Panel, Prepare
+from sumacloom.courier.messages import Accept, Configuration, Prepare
 from sumacloom.agreement.acceptor import Acceptor, Slot
 from sumacloom.agreement.proposer import Ballots, Proposal
 from sumacloom.agreement.values import (BlueprintValue, DutyValue, claim_duty, decode, evacuate, keep,
                                         put_blueprint)
 
 VOTERS = ["a", "b", "c"]
-PANEL = Panel(1, (), tuple(VOTERS))
+PANEL = Configuration(1, (), tuple(VOTERS))
 
 
 class Cluster:
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -5,7 +5,7 @@
 
 from sumacloom.common.settings import Settings
 from sumacloom.common.types import NO_BALLOT, Ballot
-from sumacloom.courier.messages import Panel, Prepare, Unframer, frame
+from sumacloom.courier.messages import Configuration, Prepare, Unframer, frame
 from sumacloom.agreement import membership, storage
 from sumacloom.registrar.office import Office
 from sumacloom.agreement.acceptor import Acceptor
@@ -56,8 +56,8 @@
             if key not in ("blueprint", membership.KEY):
                 assert self.decided.setdefault((key, ballot), value) == value
             if key == membership.KEY:
-                found = decode(Panel, value)
-                assert self.decided.setdefault(("panel", found.generation), found) == found
+                found = decode(Configuration, value)
+                assert self.decided.setdefault(("configuration", found.generation), found) == found
             return original(key, ballot, value, now)
         one.settle = settle
 
@@ -97,16 +97,16 @@
     def put(self, ip, ver, base):
         return self.offices[ip].propose("blueprint", put_blueprint(ver, b'{"ver": %d}' % ver, base), self.now)
 
-    def panels(self):
-        return {ip: one.acceptor.panel for ip, one in self.offices.items()}
+    def configurations(self):
+        return {ip: one.acceptor.configuration for ip, one in self.offices.items()}
 
 
 def test_all_that_should_vote_do_so_soon_after_the_first_start():
     land = Land(1, seeds=3, others=2, nodes=2)
     land.run(5.0)
     everyone = tuple(f"10.0.0.{number}" for number in range(1, 6))
-    assert {panel.new for panel in land.panels().values()} == {everyone}
-    assert all(not panel.old and one.votes for panel, one in zip(land.panels().values(), land.offices.values()))
+    assert {configuration.new for configuration in land.configurations().values()} == {everyone}
+    assert all(not configuration.old and one.votes for configuration, one in zip(land.configurations().values(), land.offices.values()))
 
 
 @pytest.mark.parametrize("planned", [False, True])
@@ -127,7 +127,7 @@
         land.start("10.0.0.9")
     land.run(9.0)
     left = tuple(sorted({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.9"} - {gone}))
-    assert {panel.new for panel in land.panels().values()} == {left}
+    assert {configuration.new for configuration in land.configurations().values()} == {left}
     other = next(ip for ip in left if ip not in ("10.0.0.9", "10.0.0.2"))
     land.kill(other)                                          # the newcomer's vote now carries
     land.run(1.0)
@@ -162,7 +162,7 @@
         living = list(land.offices)
         strike = luck.choice(["swap", "disk", "power", "cut", "none"])
         victim = luck.choice(living)
-        whole = all(one.votes and not one.acceptor.panel.old and one.acceptor.panel.new == tuple(sorted(living))
+        whole = all(one.votes and not one.acceptor.configuration.old and one.acceptor.configuration.new == tuple(sorted(living))
                     for one in land.offices.values())
         ill = land.cut or not whole                 # one loss at a time is what must be borne
         if strike == "swap" and not ill:
@@ -190,13 +190,13 @@
     for one in land.offices.values():
         history = {ver for ver, _digest in decode(BlueprintValue, one.decided["blueprint"][1]).history}
         assert set(won) <= history
-        assert not one.acceptor.panel.old and one.votes
+        assert not one.acceptor.configuration.old and one.votes
 
 
 def test_one_that_counts_by_older_voters_gets_no_vote_and_learns_the_newer():
-    acceptor = Acceptor(Panel(3, (), ("a", "b", "d")), 1)
+    acceptor = Acceptor(Configuration(3, (), ("a", "b", "d")), 1)
     reply, writes = acceptor.hear(Prepare("k", Ballot(9, "c", 1), NO_BALLOT, 1))
-    assert reply.panel.generation == 3 and writes == [] and not acceptor.slots
+    assert reply.configuration.generation == 3 and writes == [] and not acceptor.slots
 
 
 def test_a_disk_that_hangs_holds_up_its_own_vote_and_nothing_else():
@@ -264,7 +264,7 @@
     land.cut = set()
     land.kill("10.0.0.1", disk=False)
     land.run(6.0)
-    assert {panel.new for panel in land.panels().values()} == {("10.0.0.2", "10.0.0.3", "10.0.0.9")}
+    assert {configuration.new for configuration in land.configurations().values()} == {("10.0.0.2", "10.0.0.3", "10.0.0.9")}
     for ip in ("10.0.0.3", "10.0.0.9"):
         assert decode(BlueprintValue, land.offices[ip].acceptor.slot("blueprint").value).ver == 4
 
@@ -275,8 +275,8 @@
     ([b"\xc1nonsense"], "ledger_foreign"),
     ([b"\x01"], "ledger_foreign"),
     ([b"\x92\xa5other\x01"], "ledger_foreign"),
-    (storage.whole(Acceptor(Panel(4, (), ("a",)), 7))[:-1], "learning"),          # no meta record: not a whole memory
-    (storage.whole(Acceptor(Panel(4, (), ("a",)), 7)), "whole"),
+    (storage.whole(Acceptor(Configuration(4, (), ("a",)), 7))[:-1], "learning"),          # no meta record: not a whole memory
+    (storage.whole(Acceptor(Configuration(4, (), ("a",)), 7)), "whole"),
     ([b"\x93\xa4meta\x91\xa1a\x07"], "whole"),                                 # of the first version
 ]
 
