--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -61,7 +61,7 @@
         return list(KEYS)
 
     def whole(self) -> list[bytes]:
-        """Everything, as a capture holds it; whoever builds on this adds its own records.
+        """Everything, as a snapshot holds it; whoever builds on this adds its own records.
 
         >>> Node.whole.__name__
         'whole'
@@ -97,7 +97,7 @@
         """
         if keys:
             self.storage.write([storage.slot_record(self.acceptor, key, promise_only) for key in keys])
-            self.capture_if_full()
+            self.snapshot_if_full()
 
     def write_floor(self, keys: list[str]) -> None:
         """Puts the promise that holds for every key on its way to the disk.
@@ -116,14 +116,14 @@
         """
         self.storage.write(storage.whole(self.acceptor))
 
-    def capture_if_full(self) -> None:
-        """Writes a capture when the segment is full and the disk is ours alone.
+    def snapshot_if_full(self) -> None:
+        """Writes a snapshot when the segment is full and the disk is ours alone.
 
-        >>> Node.capture_if_full.__name__
-        'capture_if_full'
+        >>> Node.snapshot_if_full.__name__
+        'snapshot_if_full'
         """
         if self.storage.prompt and self.storage.ledger.full:
-            self.storage.ledger.capture(self.whole())
+            self.storage.ledger.snapshot(self.whole())
 
     def release(self, peer: str, message) -> None:
         """Sends a vote's reply, once all that was written before it is on disk.
--- a/sumacloom/agreement/storage.py
+++ b/sumacloom/agreement/storage.py
@@ -146,7 +146,7 @@
 
 
 def whole(acceptor: Acceptor) -> list[bytes]:
-    """Everything, for a capture or after learning; the meta record comes last.
+    """Everything, for a snapshot or after learning; the meta record comes last.
 
     >>> len(whole(Acceptor(Configuration(1, (), ("a",)), 1)))
     2
--- a/sumacloom/ledger/__init__.py
+++ b/sumacloom/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""The log on disk: segments with captures beside them."""
+"""The log on disk: segments with snapshots beside them."""
--- a/sumacloom/ledger/log.py
+++ b/sumacloom/ledger/log.py
@@ -1,4 +1,4 @@
-"""A log in segments with captures beside it; what `append` returned from is on disk."""
+"""A log in segments with snapshots beside it; what `append` returned from is on disk."""
 import os
 import zlib
 
@@ -6,6 +6,7 @@
 
 scribe = Scribe("ledger")
 SEGMENT_BYTES = 2 << 20
+SNAPSHOTS = ("capture-", "snapshot-")          # what they were once called, and are now
 HEAD = 8
 
 
@@ -58,13 +59,13 @@
         self.folder, self.segment_bytes = folder, segment_bytes
         os.makedirs(folder, exist_ok=True)
         names = os.listdir(folder)
-        captures = sorted(self.numbers(names, "capture-"))
+        snapshots = {number: f"{prefix}{number}" for prefix in SNAPSHOTS for number in self.numbers(names, prefix)}
         segments = sorted(self.numbers(names, "log-"))
         self.payloads, start = [], 0
-        self.fresh = not captures and not any(os.path.getsize(self.path(f"log-{number}")) for number in segments)
+        self.fresh = not snapshots and not any(os.path.getsize(self.path(f"log-{number}")) for number in segments)
         self.doubtful = False
-        for number in reversed(captures):
-            payloads, filled, size = self.load(f"capture-{number}")
+        for number in sorted(snapshots, reverse=True):
+            payloads, filled, size = self.load(snapshots[number])
             if payloads and filled == size:
                 self.payloads, start = payloads, number
                 break
@@ -80,14 +81,14 @@
         self.size = os.fstat(self.file).st_size
         os.fsync(self.file)
         self.sync_folder()
-        for name in [f"log-{n}" for n in segments if n < start] + [f"capture-{n}" for n in captures if n < start]:
+        for name in [f"log-{n}" for n in segments if n < start] + [snapshots[n] for n in snapshots if n < start]:
             os.unlink(self.path(name))
 
     @staticmethod
     def numbers(names: list[str], prefix: str) -> list[int]:
         """The numbers of the files with that prefix.
 
-        >>> Ledger.numbers(["log-3", "log-x", "capture-1"], "log-")
+        >>> Ledger.numbers(["log-3", "log-x", "snapshot-1"], "log-")
         [3]
         """
         return [int(name[len(prefix):]) for name in names if name.startswith(prefix) and name[len(prefix):].isdigit()]
@@ -153,18 +154,18 @@
 
     @property
     def full(self) -> bool:
-        """Whether it is time for a capture.
+        """Whether it is time for a snapshot.
 
         >>> Ledger.full.fget.__name__
         'full'
         """
         return self.size >= self.segment_bytes
 
-    def capture(self, payloads: list[bytes]) -> None:
+    def snapshot(self, payloads: list[bytes]) -> None:
         """Writes the whole state beside the log, then starts a new segment and removes the old.
 
         >>> import tempfile; folder = tempfile.mkdtemp(); ledger = Ledger(folder)
-        >>> ledger.append([b"one"]); ledger.capture([b"state"]); Ledger(folder).payloads
+        >>> ledger.append([b"one"]); ledger.snapshot([b"state"]); Ledger(folder).payloads
         [b'state']
         """
         number = self.number + 1
@@ -177,11 +178,11 @@
             os.close(file)
         segment = os.open(self.path(f"log-{number}"), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
         os.fsync(segment)
-        os.rename(draft, self.path(f"capture-{number}"))
+        os.rename(draft, self.path(f"snapshot-{number}"))
         self.sync_folder()
         os.close(self.file)
         old, self.file, self.size, self.number = self.number, segment, 0, number
-        for name in (f"log-{old}", f"capture-{old}"):
+        for name in (f"log-{old}", *(f"{prefix}{old}" for prefix in SNAPSHOTS)):
             if os.path.exists(self.path(name)):
                 os.unlink(self.path(name))
         self.sync_folder()
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -55,7 +55,7 @@
         return [*super().keys(), *listeners.keys(self)]
 
     def whole(self) -> list[bytes]:
-        """Everything, as a capture holds it.
+        """Everything, as a snapshot holds it.
 
         >>> Office.whole.__name__
         'whole'
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -115,7 +115,7 @@
             try:
                 await curio.run_in_thread(storage.sync, batches)
                 if storage.ledger.full:
-                    await curio.run_in_thread(storage.ledger.capture, self.office.whole())
+                    await curio.run_in_thread(storage.ledger.snapshot, self.office.whole())
             except OSError as error:
                 if not self.disk_ill:
                     scribe.warn("the disk refuses writes, no votes until it takes them: %s", error)
--- a/sumacloom/registrar/spool.py
+++ b/sumacloom/registrar/spool.py
@@ -46,7 +46,7 @@
                 self.entries.pop(key, None)
 
     def records(self) -> list[tuple]:
-        """All entries, for a capture.
+        """All entries, for a snapshot.
 
         >>> Spool(None, [("spooled", 7, "books", 1, "edge-1", "PUT a b", "", False)], 0.0).records()
         [('spooled', 7, 'books', 1, 'edge-1', 'PUT a b', '', False)]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -36,18 +36,18 @@
     assert Ledger(folder).payloads == [b"first", b"next"]
 
 
-def test_a_capture_replaces_the_segments_and_a_broken_draft_is_ignored(tmp_path):
+def test_a_snapshot_replaces_the_segments_and_a_broken_draft_is_ignored(tmp_path):
     folder = str(tmp_path)
     ledger = Ledger(folder, segment_bytes=64)
     for number in range(10):
         ledger.append([b"record %d" % number])
     assert ledger.full
-    ledger.capture([b"state"])
+    ledger.snapshot([b"state"])
     ledger.append([b"after"])
     with open(os.path.join(folder, "draft"), "wb") as file:
-        file.write(b"half a cap")
+        file.write(b"half a snap")
     assert Ledger(folder).payloads == [b"state", b"after"]
-    assert sorted(os.listdir(folder)) == ["capture-2", "draft", "log-2"]
+    assert sorted(os.listdir(folder)) == ["draft", "log-2", "snapshot-2"]
 
 
 # ---------------------------------------------------------------- office
