A damaged ledger is lost memory, not a torn tail; any mix of names after a power loss is read

Ruled out: a checksum chain and a second sync per append (cost); scanning by length alone (the length may be hit). Change: each append is one group whose header tells file and offset. A group is begun only when all before it is synced, so what can't be read before one is damage, and at the end a torn tail. Bare records of the first version are still read. Conclusion: the very last append can't be told from a torn one; if its bytes rot after the sync, it is lost unsaid.

--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -79,7 +79,10 @@
         opened = storage.open_acceptor(ledger.payloads, self.storage.others)
         if opened.is_err():
             raise storage.ForeignLedger(opened.err())
+        if ledger.damaged and ledger.damaged.name == "ledger_foreign":
+            raise storage.ForeignLedger(ledger.damaged)
         acceptor = opened.ok()
+        acceptor.learned = acceptor.learned and not ledger.damaged
         for slot in [*acceptor.slots.values()]:
             self.ballots.saw(slot.promised)
         self.ballots.saw(acceptor.floor)
@@ -114,7 +117,7 @@
         >>> Node.write_all.__name__
         'write_all'
         """
-        self.storage.write(storage.whole(self.acceptor))
+        self.storage.write(self.whole(), whole=True)
 
     def snapshot_if_full(self) -> None:
         """Writes a snapshot when the segment is full and the disk is ours alone.
--- a/sumacloom/agreement/storage.py
+++ b/sumacloom/agreement/storage.py
@@ -15,6 +15,7 @@
 from .configuration import Configuration
 
 scribe = Scribe("office")
+FIRST_PAUSE_S, MOST_PAUSE_S = 1.0, 30.0                   # between tries of a snapshot that the disk refuses
 OTHER_KINDS = {"spooled": 8, "spent": 4, "roster": 2}     # not the acceptor's, and how long such a record is
 
 
@@ -22,7 +23,7 @@
     """A record as the ledger keeps it.
 
     >>> encode(("spent", 7, "books", 1))[:7]
-    b'\\x94\\xa5spen'
+    b'\\x94\\xa5spent'
     """
     return msgspec.msgpack.encode(record)
 
@@ -44,6 +45,7 @@
 
     payloads: list
     after: list
+    whole: bool = False                  # everything there is, so that nothing before it is needed
 
 
 class Storage:
@@ -60,14 +62,15 @@
         self.ledger, self.prompt = ledger, prompt
         self.batches: list[Batch] = []
         self.others: list[tuple] = []        # records of the spool and the roster, as the ledger had them
+        self.snapshot_taken()
 
-    def write(self, payloads: list) -> None:
-        """Puts records on their way to the disk.
+    def write(self, payloads: list, whole: bool = False) -> None:
+        """Puts records on their way to the disk; `whole` if they are everything there is.
 
         >>> Storage.write.__name__
         'write'
         """
-        batch = Batch(payloads, [])
+        batch = Batch(payloads, [], whole)
         if self.prompt:
             self.sync([batch])
         else:
@@ -100,12 +103,43 @@
         return list(self.batches)
 
     def sync(self, batches: list[Batch]) -> None:
-        """Writes and syncs; this is what waits for the disk.
+        """Writes and syncs; this is what waits for the disk. A damaged ledger gets a snapshot once all is learned anew.
 
         >>> Storage.sync.__name__
         'sync'
         """
-        self.ledger.append([payload for batch in batches for payload in batch.payloads])
+        learned = [place for place, batch in enumerate(batches) if batch.whole]
+        if learned and self.ledger.damaged:
+            self.ledger.snapshot(batches[learned[-1]].payloads)
+            batches = batches[learned[-1] + 1:]
+        if batches:
+            self.ledger.append([payload for batch in batches for payload in batch.payloads])
+
+    def snapshot_due(self, now: float) -> bool:
+        """Whether the log is to be replaced by a snapshot now; after a refusal only some time later, unless all waits for it.
+
+        >>> import tempfile; from sumacloom.ledger.log import Ledger
+        >>> Storage(Ledger(tempfile.mkdtemp())).snapshot_due(0.0), Storage(Ledger(tempfile.mkdtemp(), 0)).snapshot_due(0.0)
+        (False, True)
+        """
+        return self.ledger.crowded or self.ledger.full and now >= self.snapshot_at
+
+    def snapshot_refused(self, now: float) -> None:
+        """The disk refused one: the next try comes after a growing pause.
+
+        >>> storage = Storage(None); storage.snapshot_refused(1.0); storage.snapshot_refused(2.0); storage.snapshot_at
+        4.0
+        """
+        self.snapshot_at = now + self.pause_s
+        self.pause_s = min(2 * self.pause_s, MOST_PAUSE_S)
+
+    def snapshot_taken(self) -> None:
+        """The disk took one.
+
+        >>> storage = Storage(None); storage.snapshot_refused(1.0); storage.snapshot_taken(); storage.pause_s
+        1.0
+        """
+        self.snapshot_at, self.pause_s = -1e9, FIRST_PAUSE_S
 
     def written(self, batches: list[Batch]) -> list[tuple]:
         """The batches are synced: gives what may leave now.
@@ -146,12 +180,13 @@
 
 
 def whole(acceptor: Acceptor) -> list[bytes]:
-    """Everything, for a snapshot or after learning; the meta record comes last.
+    """Everything, for a snapshot or after learning; the meta record comes last, and only from who has learned.
 
     >>> len(whole(Acceptor(Configuration(1, (), ("a",)), 1)))
     2
     """
-    return [floor_record(acceptor), *(slot_record(acceptor, key) for key in acceptor.slots), meta_record(acceptor)]
+    return [floor_record(acceptor), *(slot_record(acceptor, key) for key in acceptor.slots),
+            *([meta_record(acceptor)] if acceptor.learned else [])]
 
 
 def read_configuration(found) -> Configuration:
--- a/sumacloom/common/results.py
+++ b/sumacloom/common/results.py
@@ -33,6 +33,7 @@
     "address_unusable": (1005, 0, 3, "an address of the settings can't be served"),
     "disk_unusable": (1004, 0, 3, "the data folder can't be used"),
     "ledger_foreign": (1006, 0, 3, "the ledger holds what is not ours"),
+    "ledger_damaged": (1007, 0, 3, "the ledger has lost part of its memory"),
     "unreadable": (1101, 400, 4, "the body can't be read as a blueprint"),
     "unknown_service": (1102, 400, 4, "a route names an unknown service"),
     "same_place": (1103, 400, 4, "two routes share a host and a prefix"),
--- a/sumacloom/ledger/log.py
+++ b/sumacloom/ledger/log.py
@@ -1,39 +1,14 @@
-"""A log in segments with snapshots beside it; what `append` returned from is on disk."""
+"""A log in segments with snapshots beside it; what `append` returned from is on disk, or the ledger says `damaged`."""
 import os
-import zlib
 
 from ..common.logs import Scribe
+from ..common.results import Mishap, mishap
+from .records import Scan, group, pack, scan  # noqa: F401  (pack: the first version's records)
 
 scribe = Scribe("ledger")
 SEGMENT_BYTES = 2 << 20
+MOST_SEGMENTS = 4                              # so many full segments without a snapshot, and there must be one first
 SNAPSHOTS = ("capture-", "snapshot-")          # what they were once called, and are now
-HEAD = 8
-
-
-def pack(payload: bytes) -> bytes:
-    """A record: length, checksum, payload.
-
-    >>> len(pack(b"abc"))
-    11
-    """
-    return len(payload).to_bytes(4, "big") + zlib.crc32(payload).to_bytes(4, "big") + payload
-
-
-def unpack(data: bytes) -> tuple[list[bytes], int]:
-    """The whole records at the start of the data, and how many bytes they fill.
-
-    >>> unpack(pack(b"a") + pack(b"b")[:-1])
-    ([b'a'], 9)
-    """
-    payloads, at = [], 0
-    while len(data) - at >= HEAD:
-        size = int.from_bytes(data[at:at + 4], "big")
-        payload = data[at + HEAD:at + HEAD + size]
-        if len(payload) < size or zlib.crc32(payload) != int.from_bytes(data[at + 4:at + HEAD], "big"):
-            break
-        payloads.append(payload)
-        at += HEAD + size
-    return payloads, at
 
 
 def write_all(file: int, data: bytes) -> None:
@@ -47,7 +22,10 @@
 
 
 class Ledger:
-    """Opened on a folder; `payloads` holds what it found, oldest first.
+    """Opened on a folder; `payloads` holds what it found, oldest first, and `damaged` says if some is lost.
+
+    Opening destroys nothing: a torn tail is cut by the next append, old files go with the next snapshot. A damaged
+    ledger takes appends in a segment of its own and stays damaged, however often it is opened, until a snapshot.
 
     >>> import tempfile; folder = tempfile.mkdtemp()
     >>> ledger = Ledger(folder); ledger.append([b"one"]); ledger.close()
@@ -61,34 +39,54 @@
         names = os.listdir(folder)
         snapshots = {number: f"{prefix}{number}" for prefix in SNAPSHOTS for number in self.numbers(names, prefix)}
         segments = sorted(self.numbers(names, "log-"))
-        self.payloads, start = [], 0
-        self.fresh = not snapshots and not any(os.path.getsize(self.path(f"log-{number}")) for number in segments)
-        self.doubtful = False
+        self.payloads, start, rotten = [], 0, []
         for number in sorted(snapshots, reverse=True):
-            payloads, filled, size = self.load(snapshots[number])
-            if payloads and filled == size:
-                self.payloads, start = payloads, number
+            found = self.load(snapshots[number], number)
+            if found.payloads and found.filled == found.size:
+                self.payloads, start = found.payloads, number
                 break
-        live = [number for number in segments if number >= start]
-        for number in live:
-            payloads, filled, size = self.load(f"log-{number}")
-            self.payloads += payloads
-            if filled < size:
-                scribe.warn("a torn tail of %d bytes was cut off log-%d", size - filled, number)
-                self.cut(f"log-{number}", filled)
-        self.number = live[-1] if live else max(start, 1)
-        self.file = os.open(self.path(f"log-{self.number}"), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
-        self.size = os.fstat(self.file).st_size
-        os.fsync(self.file)
+            rotten.append(number)
+        row = [number for number in segments if number >= start]
+        scans = [self.load(f"log-{number}", number) for number in row]
+        self.payloads += [payload for found in scans for payload in found.payloads]
+        self.damaged: Mishap | None = self.judge(start, rotten, row, scans)
+        self.fresh = not self.damaged and not snapshots and not any(found.size for found in scans)
+        self.number = row[-1] if row else 1
+        self.size, self.doubtful = (scans[-1].filled, scans[-1].filled < scans[-1].size) if row else (0, False)
+        if self.damaged:
+            scribe.warn("%s (code %d)", self.damaged.sentence, self.damaged.code)
+            self.number, self.size, self.doubtful = max([*segments, *snapshots]) + 1, 0, False
+        elif self.doubtful:
+            scribe.warn("a torn tail of %d bytes of log-%d is cut off", scans[-1].size - self.size, self.number)
+        self.unkept = sum(found.filled for found in scans)       # bytes in segments since the last snapshot
+        self.file = self.open_segment()
+        os.fsync(self.file)                                      # what a killed process had not synced is acted on
         self.sync_folder()
-        for name in [f"log-{n}" for n in segments if n < start] + [snapshots[n] for n in snapshots if n < start]:
-            os.unlink(self.path(name))
+
+    @staticmethod
+    def judge(start: int, rotten: list[int], row: list[int], scans: list[Scan]) -> Mishap | None:
+        """What is wrong with the files found: the last readable snapshot, unreadable ones above, segments from there.
+
+        >>> Ledger.judge(2, [], [2, 3], [Scan([], 0, 0, False), Scan([], 0, 9, False)])
+        >>> Ledger.judge(2, [], [3], [Scan([], 0, 0, False)]).name
+        'ledger_damaged'
+        """
+        first = start or 1
+        if not (start or rotten or row):
+            return None
+        if not start and row[:1] == [1] and not rotten and scans[0].foreign:
+            return mishap("ledger_foreign", "log-1 begins with what no registrar writes")
+        wrong = [f"log-{number} is damaged before its synced end" for number, found in zip(row, scans)
+                 if found.damaged or (found.filled < found.size and number != row[-1])]
+        if row != list(range(first, first + len(row))) or not row or row[-1] < max(rotten, default=0):
+            wrong.append(f"the log does not go from {first} on without a gap")
+        return mishap("ledger_damaged", f"memory is lost: {', '.join(wrong)}") if wrong else None
 
     @staticmethod
     def numbers(names: list[str], prefix: str) -> list[int]:
         """The numbers of the files with that prefix.
 
-        >>> Ledger.numbers(["log-3", "log-x", "snapshot-1"], "log-")
+        >>> Ledger.numbers(["log-3", "log-x", "capture-1"], "log-")
         [3]
         """
         return [int(name[len(prefix):]) for name in names if name.startswith(prefix) and name[len(prefix):].isdigit()]
@@ -101,29 +99,22 @@
         """
         return os.path.join(self.folder, name)
 
-    def load(self, name: str) -> tuple[list[bytes], int, int]:
-        """The whole records of a file, the bytes they fill, and the file's size.
+    def load(self, name: str, number: int) -> Scan:
+        """What a file of this ledger holds.
 
         >>> Ledger.load.__name__
         'load'
         """
         with open(self.path(name), "rb") as file:
-            data = file.read()
-        payloads, filled = unpack(data)
-        return payloads, filled, len(data)
+            return scan(file.read(), number)
 
-    def cut(self, name: str, size: int) -> None:
-        """Cuts a torn tail off for good.
+    def open_segment(self) -> int:
+        """The file of the current segment, made if it isn't there.
 
-        >>> Ledger.cut.__name__
-        'cut'
+        >>> Ledger.open_segment.__name__
+        'open_segment'
         """
-        file = os.open(self.path(name), os.O_RDWR)
-        try:
-            os.ftruncate(file, size)
-            os.fsync(file)
-        finally:
-            os.close(file)
+        return os.open(self.path(f"log-{self.number}"), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
 
     def sync_folder(self) -> None:
         """Makes names in the folder last.
@@ -143,7 +134,7 @@
         >>> Ledger.append.__name__
         'append'
         """
-        data = b"".join(map(pack, payloads))
+        data = group(self.number, self.size, payloads)
         if self.doubtful:                    # an earlier try failed midway: what it left is no record
             os.ftruncate(self.file, self.size)
         self.doubtful = True
@@ -151,40 +142,91 @@
         os.fdatasync(self.file)
         self.doubtful = False
         self.size += len(data)
+        self.unkept += len(data)
 
     @property
     def full(self) -> bool:
-        """Whether it is time for a snapshot.
+        """Whether it is time for a snapshot; never while memory is lost, until all is learned anew.
 
         >>> Ledger.full.fget.__name__
         'full'
         """
-        return self.size >= self.segment_bytes
+        return self.unkept >= self.segment_bytes and not self.damaged
+
+    @property
+    def crowded(self) -> bool:
+        """Whether the log may not grow any more before a snapshot: what is left of the disk is for that.
+
+        >>> Ledger.crowded.fget.__name__
+        'crowded'
+        """
+        return self.unkept >= MOST_SEGMENTS * self.segment_bytes and not self.damaged
 
     def snapshot(self, payloads: list[bytes]) -> None:
-        """Writes the whole state beside the log, then starts a new segment and removes the old.
+        """Writes the whole state beside the log, starts a new segment and removes the old files.
+
+        The new segment is begun before the snapshot gets its name: whichever names outlive a loss of power, what is
+        appended afterwards is read. After an OSError the ledger goes on, and the same call may be made again.
 
         >>> import tempfile; folder = tempfile.mkdtemp(); ledger = Ledger(folder)
         >>> ledger.append([b"one"]); ledger.snapshot([b"state"]); Ledger(folder).payloads
         [b'state']
         """
-        number = self.number + 1
-        draft = self.path("draft")
-        file = os.open(draft, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+        if self.doubtful:                    # no segment but the last may have a torn end
+            os.ftruncate(self.file, self.size)
+            os.fsync(self.file)
+            self.doubtful = False
+        self.write_draft(group(self.number + bool(self.size), 0, payloads))
+        if self.size:
+            self.begin_segment()
+        os.fsync(self.file)                  # its name lasts before the snapshot's does
+        os.rename(self.path("draft"), self.path(f"snapshot-{self.number}"))
+        self.sync_folder()
+        self.damaged, self.unkept = None, self.size
+        self.remove_old()
+
+    def write_draft(self, data: bytes) -> None:
+        """A synced file beside the others; one that did not fit is removed.
+
+        >>> Ledger.write_draft.__name__
+        'write_draft'
+        """
+        file = os.open(self.path("draft"), os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         try:
-            write_all(file, b"".join(map(pack, payloads)))
+            write_all(file, data)
             os.fsync(file)
+        except OSError:
+            os.unlink(self.path("draft"))
+            raise
         finally:
             os.close(file)
-        segment = os.open(self.path(f"log-{number}"), os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
-        os.fsync(segment)
-        os.rename(draft, self.path(f"snapshot-{number}"))
-        self.sync_folder()
+
+    def begin_segment(self) -> None:
+        """The next segment; from here on all appends go there, and their sync makes its name last.
+
+        >>> Ledger.begin_segment.__name__
+        'begin_segment'
+        """
+        self.number += 1
+        try:
+            fresh = self.open_segment()
+        except OSError:
+            self.number -= 1
+            raise
         os.close(self.file)
-        old, self.file, self.size, self.number = self.number, segment, 0, number
-        for name in (f"log-{old}", *(f"{prefix}{old}" for prefix in SNAPSHOTS)):
-            if os.path.exists(self.path(name)):
-                os.unlink(self.path(name))
+        self.file, self.size = fresh, 0
+
+    def remove_old(self) -> None:
+        """Removes what the newest snapshot stands for.
+
+        >>> Ledger.remove_old.__name__
+        'remove_old'
+        """
+        names = os.listdir(self.folder)
+        for prefix in ("log-", *SNAPSHOTS):
+            for number in self.numbers(names, prefix):
+                if number < self.number or (prefix == "capture-" and number == self.number):
+                    os.unlink(self.path(f"{prefix}{number}"))
         self.sync_folder()
 
     def close(self) -> None:
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -16,7 +16,7 @@
     """A ledger in memory: what is synced outlives the process, what is not may be gone."""
 
     def __init__(self):
-        self.kept, self.fresh, self.full = [], True, False
+        self.kept, self.fresh, self.full, self.damaged = [], True, False, None
 
     def open(self):
         self.payloads, self.fresh = list(self.kept), not self.kept
