--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -17,13 +17,13 @@
 from .caretaker import mind_backends
 from .pooling import hear_minds
 from .spool import take_intent, take_verdict
+from .syncing import sync_disk
 from .office import Office
 
 scribe = Scribe("registrar")
 TICK_S = 0.05
 FAN = 4
 PEER_DIAL_S = 0.35
-DISK_PAUSE_S = 0.25
 FLIPPED_S = 0.4
 COUNT_S = 0.1
 
@@ -101,37 +101,7 @@
         self.pass_news()
         if office.storage.batches and not self.syncing:
             self.syncing = True
-            await curio.spawn(self.sync_disk, daemon=True)
-
-    async def sync_disk(self) -> None:
-        """Syncs what waits, batch after batch; a disk that hangs or refuses holds up votes and nothing else.
-
-        >>> Shell.sync_disk.__name__
-        'sync_disk'
-        """
-        storage = self.office.storage
-        while storage.batches:
-            batches = storage.take()
-            try:
-                await curio.run_in_thread(storage.sync, batches)
-                if storage.ledger.full:
-                    await curio.run_in_thread(storage.ledger.snapshot, self.office.whole())
-            except OSError as error:
-                if not self.disk_ill:
-                    scribe.warn("the disk refuses writes, no votes until it takes them: %s", error)
-                self.disk_ill = True
-                await curio.sleep(DISK_PAUSE_S)
-                continue
-            if self.disk_ill:
-                scribe.say("the disk takes writes again")
-            self.disk_ill = False
-            self.office.written(batches, self.now())
-            self.syncing = False               # what follows may be written by a task of its own
-            await self.act()
-            if self.syncing:
-                return
-            self.syncing = True
-        self.syncing = False
+            await curio.spawn(sync_disk, self, daemon=True)
 
     def pass_news(self) -> None:
         """Sends the counters that hang on us directly what they lack.
