--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -82,7 +82,7 @@
             node.change(write_at(offset, data[:len(data) // 3]))      # part of it had gone out
             raise
         node.change(write_at(offset, data))
-        node.changes[-1].torn = torn(offset, data)
+        node.changes[-1].torn = torn(offset, data)           # a write may also stay in part
         return len(data)
 
     def ftruncate(self, handle, size):
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -7,9 +7,11 @@
 import msgspec
 import pytest
 
+from sumacloom.__main__ import open_shell
+from sumacloom.common.results import exit_code
 from sumacloom.common.settings import Settings
 from sumacloom.ledger import log
-from sumacloom.ledger.log import Ledger
+from sumacloom.ledger.log import Ledger, pack
 from sumacloom.ledger.records import MARK
 from sumacloom.registrar import shell, syncing
 from sumacloom.registrar.office import Office
@@ -186,6 +188,70 @@
     assert not Office(settings, Ledger(str(tmp_path)), random.Random(2), 0.0).acceptor.learned
 
 
+# ---------------------------------------------------------------- lost memory, and what is not ours
+SPOOLED = ("spooled", 7, "books", 1, "edge-1", "PUT a b", "", False)
+
+
+def lone_office(folder, nonce=1):
+    settings = Settings("core", "registrar", "10.0.0.1", "a", seeds=["10.0.0.1:80"], bootstrap=True)
+    return Office(settings, Ledger(str(folder)), random.Random(nonce), 0.0)
+
+
+def damaged_folder(folder):
+    one = lone_office(folder)
+    one.desk.write_records([SPOOLED])
+    for number in range(3):
+        one.propose("blueprint", put_blueprint(number + 1, b'{"ver": %d}' % (number + 1), number), 0.0)
+    assert generation(one) == 3
+    one.desk.ledger.close()
+    data = bytearray((folder / "log-1").read_bytes())
+    data[60] ^= 1
+    (folder / "log-1").write_bytes(data)
+    return one
+
+
+def test_lost_memory_is_not_voted_with_nor_bootstrapped_and_the_spool_stays(tmp_path):
+    damaged_folder(tmp_path)
+    for life in (2, 3):                                       # ended before it had learned: the next one knows as well
+        one = lone_office(tmp_path, life)
+        assert one.desk.ledger.damaged.code == 1007 and not one.acceptor.learned and not one.acceptor.slots
+        assert one.propose("blueprint", put_blueprint(9, b"{}", 3), 0.0).outcome.err().name == "rejoining"
+        assert one.spool.records() == [SPOOLED]
+        one.desk.write_records([("spent", 8, "books", life)])
+        one.desk.ledger.close()
+
+
+def test_after_learning_the_whole_memory_takes_the_place_of_the_damaged_one(tmp_path):
+    old = damaged_folder(tmp_path)
+    one = lone_office(tmp_path, 2)
+    one.desk.prompt = False
+    one.acceptor.panel, one.acceptor.learned, one.acceptor.incarnation = old.acceptor.panel, True, 99
+    one.desk.write_records([("spent", 8, "books", 1)])
+    one.write_all()
+    one.desk.write_records([("spent", 8, "books", 2)])
+    assert "log-1" in os.listdir(tmp_path)
+    one.desk.sync(one.desk.take())
+    assert sorted(os.listdir(tmp_path)) == ["log-2", "snapshot-2"] and not one.desk.ledger.damaged
+    again = lone_office(tmp_path, 3)
+    assert again.acceptor.learned and again.acceptor.incarnation == 99 and again.spool.records() == [SPOOLED]
+
+
+STRANGE = [
+    # what log-1 holds
+    b"#!/bin/sh\necho somebody else's log\n",
+    pack(msgspec.msgpack.encode(["other", 1])),
+    pack(msgspec.msgpack.encode(["other", 1])) + b"torn",
+]
+
+
+@pytest.mark.parametrize("data", STRANGE)
+def test_a_foreign_ledger_ends_the_start_with_a_number_and_stays_as_it_is(tmp_path, data):
+    (tmp_path / "log-1").write_bytes(data)
+    found = open_shell(lambda _settings: lone_office(tmp_path), None).err()
+    assert (found.code, exit_code(found.name)) == (1006, 3) and "\n" not in found.sentence
+    assert (tmp_path / "log-1").read_bytes() == data
+
+
 # ---------------------------------------------------------------- away through a storm
 CHANGES, ROUTES = 2500, 60
 BACK_S = 5.0                       # simulated seconds within which who comes back holds all and votes
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,5 @@
 """The ledger: old folders, damage told from a torn end, and every point at which it may be cut short."""
+import copy
 import os
 
 import pytest
@@ -183,6 +184,18 @@
     assert ledger.damaged.name == "ledger_foreign" and read(str(tmp_path), "log-1") == data
 
 
+def test_a_group_that_is_told_of_inside_a_torn_append_proves_nothing(tmp_path):
+    """A payload may hold the bytes of another group; only one at its own place says that all before it was synced."""
+    folder = filled(tmp_path, appends=2)
+    inner = read(folder, "log-1")
+    ledger = Ledger(folder)
+    ledger.append([b"before", inner, b"behind"])
+    ledger.close()
+    write(folder, "log-1", read(folder, "log-1")[:-3])
+    found = Ledger(folder)
+    assert not found.damaged and len(found.payloads) == 4
+
+
 # ---------------------------------------------------------------- losses of power
 @pytest.fixture
 def disk_of(monkeypatch):
@@ -240,6 +253,26 @@
         assert all(held | {77} <= found for found in again)
 
 
+def test_what_was_read_after_a_kill_is_there_after_a_loss_of_power(disk_of):
+    """A killed process leaves what it wrote and did not sync; whoever reads it may act on it at once."""
+    seen, copies = [], []
+
+    def watch(disk):
+        copies.append(copy.deepcopy(disk))
+    disk = disk_of(MemoryDisk(watch=watch))
+    play([], Ledger("disk"), most=6)
+    for left in copies:
+        left.watch = None
+        disk_of(left)
+        held = numbers(Ledger("disk").payloads)
+        for image in left.images():
+            disk_of(MemoryDisk(image))
+            again = Ledger("disk")
+            assert held <= numbers(again.payloads) and not again.damaged
+            seen.append(held)
+    assert len(seen) > 20
+
+
 def crash_everywhere(disk_of, fail_at=None, most=9):
     """Plays the ledger's work on a disk in memory, and loses power at every step of it."""
     seen, acked, failed = set(), [], []
