--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -91,6 +91,15 @@
             os.unlink(os.path.join(folder, name))
 
 
+def test_a_torn_last_append_still_tells_that_all_before_it_was_synced(tmp_path):
+    folder = filled(tmp_path, appends=2)
+    data = read(folder, "log-1")
+    write(folder, "log-1", data[:-1])
+    assert not Ledger(folder).damaged
+    write(folder, "log-1", data[:50] + b"?" + data[51:-1])
+    assert Ledger(folder).damaged
+
+
 def test_a_hole_in_the_last_append_is_a_torn_end(tmp_path):
     folder = filled(tmp_path)
     start = len(read(folder, "log-1"))
