--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -7,7 +7,8 @@
 import msgspec
 import pytest
 
-from sumacloom.__main__ import open_shell
+from sumacloom.daemon import open_shell
+from sumacloom.agreement.values import BlueprintValue, decode, put_blueprint
 from sumacloom.common.results import exit_code
 from sumacloom.common.settings import Settings
 from sumacloom.ledger import log
@@ -16,7 +17,6 @@
 from sumacloom.registrar import shell, syncing
 from sumacloom.registrar.office import Office
 from sumacloom.registrar.syncing import sync_disk
-from sumacloom.agreement.values import BlueprintValue, decode, put_blueprint
 
 from .test_voters import Land
 
@@ -199,11 +199,11 @@
 
 def damaged_folder(folder):
     one = lone_office(folder)
-    one.desk.write_records([SPOOLED])
+    one.storage.write_records([SPOOLED])
     for number in range(3):
         one.propose("blueprint", put_blueprint(number + 1, b'{"ver": %d}' % (number + 1), number), 0.0)
     assert generation(one) == 3
-    one.desk.ledger.close()
+    one.storage.ledger.close()
     data = bytearray((folder / "log-1").read_bytes())
     data[60] ^= 1
     (folder / "log-1").write_bytes(data)
@@ -214,24 +214,24 @@
     damaged_folder(tmp_path)
     for life in (2, 3):                                       # ended before it had learned: the next one knows as well
         one = lone_office(tmp_path, life)
-        assert one.desk.ledger.damaged.code == 1007 and not one.acceptor.learned and not one.acceptor.slots
+        assert one.storage.ledger.damaged.code == 1007 and not one.acceptor.learned and not one.acceptor.slots
         assert one.propose("blueprint", put_blueprint(9, b"{}", 3), 0.0).outcome.err().name == "rejoining"
         assert one.spool.records() == [SPOOLED]
-        one.desk.write_records([("spent", 8, "books", life)])
-        one.desk.ledger.close()
+        one.storage.write_records([("spent", 8, "books", life)])
+        one.storage.ledger.close()
 
 
 def test_after_learning_the_whole_memory_takes_the_place_of_the_damaged_one(tmp_path):
     old = damaged_folder(tmp_path)
     one = lone_office(tmp_path, 2)
-    one.desk.prompt = False
-    one.acceptor.panel, one.acceptor.learned, one.acceptor.incarnation = old.acceptor.panel, True, 99
-    one.desk.write_records([("spent", 8, "books", 1)])
+    one.storage.prompt = False
+    one.acceptor.configuration, one.acceptor.learned, one.acceptor.incarnation = old.acceptor.configuration, True, 99
+    one.storage.write_records([("spent", 8, "books", 1)])
     one.write_all()
-    one.desk.write_records([("spent", 8, "books", 2)])
+    one.storage.write_records([("spent", 8, "books", 2)])
     assert "log-1" in os.listdir(tmp_path)
-    one.desk.sync(one.desk.take())
-    assert sorted(os.listdir(tmp_path)) == ["log-2", "snapshot-2"] and not one.desk.ledger.damaged
+    one.storage.sync(one.storage.take())
+    assert sorted(os.listdir(tmp_path)) == ["log-2", "snapshot-2"] and not one.storage.ledger.damaged
     again = lone_office(tmp_path, 3)
     assert again.acceptor.learned and again.acceptor.incarnation == 99 and again.spool.records() == [SPOOLED]
 
