--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -207,7 +207,7 @@
     assert generation(one) == 3
     one.storage.ledger.close()
     data = bytearray((folder / "log-1").read_bytes())
-    data[60] ^= 1
+    data[len(data) // 2] ^= 1                 # behind the record that says who votes
     (folder / "log-1").write_bytes(data)
     return one
 
@@ -328,11 +328,11 @@
 
 
 def spoil_log(folder):
-    """One bit early in the newest segment; in the snapshot, if the segment has too little for that."""
+    """One bit amid the newest segment; in the snapshot, if the segment has too little for that."""
     newest = max(int(name.split("-")[1]) for name in os.listdir(folder))
     name = f"log-{newest}" if (folder / f"log-{newest}").read_bytes().count(MARK) > 2 else f"snapshot-{newest}"
     data = bytearray((folder / name).read_bytes())
-    data[60] ^= 4
+    data[data.rindex(MARK) // 2] ^= 4         # behind the record that says who votes, before the last append
     (folder / name).write_bytes(data)
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -164,7 +164,7 @@
         return
     ledger.append([b"of the spool"])
     ledger.close()
-    again = Ledger(folder)
+    again = Ledger(folder, segment_bytes=1)
     assert again.damaged and again.payloads[-1] == b"of the spool"
     assert {name: data for name, data in files(folder).items() if name in before} == before       # nothing destroyed
     assert not again.full and not again.crowded
@@ -262,6 +262,26 @@
         assert all(held | {77} <= found for found in again)
 
 
+def test_a_snapshot_after_a_refused_append_leaves_no_torn_end_behind(disk_of):
+    images = []
+
+    def watch(disk):
+        images.extend(disk.images())
+    disk = disk_of(MemoryDisk())
+    ledger = Ledger("disk")
+    ledger.append([b"1"])
+    disk.fail_at = disk.steps + 1
+    with pytest.raises(OSError):
+        ledger.append([b"2", b"2 again"])
+    disk.watch = watch
+    ledger.snapshot([b"0-2"])
+    for image in images:
+        disk_of(MemoryDisk(image))
+        again = Ledger("disk")
+        assert not again.damaged and 1 in numbers(again.payloads)
+    assert len(images) > 5
+
+
 def test_what_was_read_after_a_kill_is_there_after_a_loss_of_power(disk_of):
     """A killed process leaves what it wrote and did not sync; whoever reads it may act on it at once."""
     seen, copies = [], []
