Calls to the platform leave under the plan's own fence, confirmed by a majority

Cause: run_promote read the duty's fence when it sent. Shown on the code before: with word of another holder between a plan's check and its call, our name left with the other's fence (X-Holder core-1, X-Fence 6, holder core-2). Likewise run_fence claimed the duty by whatever holder it then saw, so a plan could take the duty back from another; after a freeze the clock's own tick could hide the standstill from a plan; and a plan that ended while its call was under way left no doubt behind, so the next one repeated the call under the same fence (shown by the new model). Ruled out: two holders with one fence; compare-and-set on the whole value, and the fence rises with each claim. A plan carries the duty it began under; only its own Fence moves it on. A call leaves at most 0.5 s after a reading at a majority was asked for, taken while the connection is made; an older one is asked anew, once. A call is in doubt from its sending to a clear answer; the next plan, with syncAcks or not, sees to a fence above that call's, and raises none where ours stands above it already. Where the platform checks no fences a new holder waits 2.0 s, the sum of confirmation and flight, and a doubtful call is waited out. bounds.leaseMs is taken where given. Calls keep inside 0.8 of dutyPerS in any second. The Doubt command is gone: the call itself remembers. A text for a backend isn't sent past its own cutoff.

--- a/sumacloom/common/settings.py
+++ b/sumacloom/common/settings.py
@@ -47,6 +47,7 @@
     evac_ms: float = 5000
     heal_s: float = 12
     fencing: bool = True
+    lease_ms: float = 0          # the pages name no figure; taken where one is given
     thaw_ms: float = 300
 
 
@@ -128,7 +129,10 @@
     'settings_invalid'
     """
     try:
-        settings = msgspec.convert(tomllib.loads(text), Settings)
+        found = tomllib.loads(text)
+        if isinstance(found.get("bounds"), dict) and "lease_ms" in found["bounds"]:     # as the rules spell it
+            found["bounds"].setdefault("leaseMs", found["bounds"]["lease_ms"])
+        settings = msgspec.convert(found, Settings)
     except tomllib.TOMLDecodeError as error:
         return Err(mishap("settings_invalid", f"the settings file is not TOML: {error}"))
     except msgspec.ValidationError as error:
--- a/sumacloom/registrar/caretaker.py
+++ b/sumacloom/registrar/caretaker.py
@@ -1,10 +1,10 @@
 """The failover duty at work: probes of suspected primaries, and the plans that services need."""
 import curio
 
-from ..agreement.values import DutyValue, decode, keep
+from ..agreement.values import DutyValue, decode
 from ..common.logs import Scribe
-from . import duties
-from .errands import PROBE_CUTOFF_S, run_ask, run_plan
+from . import duties, tenure
+from .errands import PROBE_CUTOFF_S, Doubted, run_ask, run_plan
 from .failover import Ask, draw_plan
 
 scribe = Scribe("registrar")
@@ -30,7 +30,7 @@
     'probe'
     """
     roster, started = shell.office.roster, shell.now()
-    outcome = await run_ask(shell, Ask(record, ""), PROBE_CUTOFF_S)
+    outcome = await run_ask(shell, Ask(record, ""), cutoff_s=PROBE_CUTOFF_S)
     if outcome not in (None, "REFUSED", "WRONGHOST"):
         roster.probed.pop(record.name, None)
     elif roster.probed.setdefault(record.name, started) == started:
@@ -59,7 +59,11 @@
     if shell.duty_known != (office.duty.holder, office.duty.nonce):
         # what an earlier holder left unfinished may yet land; the very first holder has none before it
         shell.duty_known = (office.duty.holder, office.duty.nonce)
-        shell.doubts = {record.service for record in records.values()} if office.duty.fence > 1 else set()
+        shell.doubts = dict.fromkeys(
+            {record.service for record in records.values()} if office.duty.fence > 1 else set(),
+            Doubted(office.duty.fence - 1, tenure.first_call_at(office)))
+    if now < tenure.first_call_at(office):
+        return
     services = {}
     for record in records.values():
         services.setdefault(record.service, []).append(record)
@@ -74,7 +78,7 @@
             continue
         drawn = draw_plan(service, members, office.board.zones, lambda name: roster.dark_since(name, voters, now),
                           known[service].sync_acks, now, DARK_S, shell.nobody_since.get(service),
-                          service in shell.doubts and known[service].sync_acks > 0)
+                          service in shell.doubts)
         if drawn:
             shell.plans[service] = drawn[0]
             await curio.spawn(carry_out, shell, service, *drawn, daemon=True)
@@ -87,15 +91,16 @@
     'carry_out'
     """
     try:
-        result = await shell.decide(duties.DUTY, keep, reading=True)
-        if result.is_err() or decode(DutyValue, result.ok()[1]) != shell.office.duty or not may_act(shell):
+        asked = await tenure.ask(shell)
+        holding, result = tenure.Holding(shell.office.duty, asked), asked[1]
+        if result.is_err() or decode(DutyValue, result.ok()[1]) != holding.duty or not may_act(shell):
             await curio.sleep(0.2)
             return
         scribe.say("%s for %s begins", name, service)
         doubtful = service in shell.doubts
-        leads = await run_plan(shell, plan)
+        leads = await run_plan(shell, plan, holding)
         if leads and doubtful:
-            shell.doubts.discard(service)
+            shell.doubts.pop(service, None)
         scribe.say("%s for %s ended, %s leads", name, service, leads or "nobody new")
         shell.misses[service] = 0 if leads else shell.misses.get(service, 0) + 1
         if not leads:
--- a/sumacloom/registrar/duties.py
+++ b/sumacloom/registrar/duties.py
@@ -50,14 +50,22 @@
         office.propose(DUTY, claim_duty(office.me, office.nonce, office.duty), now)
 
 
+def is_ours(office) -> bool:
+    """Whether this life of this registrar is the holder, as far as it knows.
+
+    >>> is_ours.__name__
+    'is_ours'
+    """
+    return office.duty is not None and office.duty.holder == office.me and office.duty.nonce == office.nonce
+
+
 def holds_duty(office, now: float) -> bool:
     """Whether this registrar may act; any doubt says no.
 
     >>> holds_duty.__name__
     'holds_duty'
     """
-    return (office.duty is not None and office.duty.holder == office.me and office.duty.nonce == office.nonce
-            and office.votes and office.heard_majority(now))
+    return is_ours(office) and office.votes and office.heard_majority(now)
 
 
 def give_up_duty(office, now: float, rest_s: float = 6.0) -> None:
--- a/sumacloom/registrar/errands.py
+++ b/sumacloom/registrar/errands.py
@@ -1,4 +1,6 @@
 """Runs the commands of plans: texts for backends over a wire of their own, calls to the platform."""
+from typing import NamedTuple
+
 import curio
 
 from ..agreement.values import claim_duty
@@ -8,8 +10,8 @@
 from ..common.settings import split_address
 from ..courier.links import dial
 from ..courier.messages import Pending
-from . import duties
-from .failover import Announce, Ask, Doubt, Fence, Look, Promote, Rest, Row, read_row
+from . import duties, tenure
+from .failover import Announce, Ask, Fence, Look, Promote, Rest, Row, read_row
 
 scribe = Scribe("failover")
 ASK_CUTOFF_S = 0.7
@@ -21,6 +23,37 @@
 RUNNERS = {}
 
 
+class Doubted(NamedTuple):
+    """A call for a service that may yet land: its fence, and until when.
+
+    >>> Doubted(3, 1.5).fence
+    3
+    """
+
+    fence: int
+    until: float
+
+
+def stood_still(shell, since: float) -> bool:
+    """Whether this process was frozen at some point since: the duty, and all that was heard, may be out of date.
+
+    >>> stood_still.__name__
+    'stood_still'
+    """
+    return shell.stood_still_at >= since or shell.now() - shell.ticked_at > STOOD_STILL_S
+
+
+def note_tick(shell, now: float) -> None:
+    """The clock ticks; a long gap since the last tick is remembered as a standstill.
+
+    >>> note_tick.__name__
+    'note_tick'
+    """
+    if now - shell.ticked_at > STOOD_STILL_S:
+        shell.stood_still_at = now
+    shell.ticked_at = now
+
+
 def runs(kind):
     """Registers what runs commands of a kind.
 
@@ -34,13 +67,13 @@
 
 
 @runs(Ask)
-async def run_ask(shell, command: Ask, cutoff_s: float = ASK_CUTOFF_S) -> Row | str | None:
+async def run_ask(shell, command: Ask, _holding=None, cutoff_s: float = ASK_CUTOFF_S) -> Row | str | None:
     """One text for one backend: its row, an error code, REFUSED if nothing listens there, or None for silence.
 
     >>> RUNNERS[Ask] is run_ask
     True
     """
-    address = split_address(command.backend.address)
+    address, started = split_address(command.backend.address), shell.now()
     try:
         async with curio.timeout_after(cutoff_s):
             sock = await dial(*address)
@@ -53,6 +86,8 @@
                     return line.split(" ")[1]
                 if not command.text:
                     return "READY"
+                if shell.now() - started > cutoff_s:
+                    return None              # we stood still: what the plan meant to say may be out of date
                 await sock.sendall(encode(f"QUERY - {command.text}"))
                 lines = await read_lines(sock, splitter, ("DONE", "ERR"))
                 await sock.sendall(encode("QUIT"))
@@ -84,24 +119,57 @@
 
 
 @runs(Promote)
-async def run_promote(shell, command: Promote) -> int:
-    """Tells the platform which backend takes over; the status, or 0 for silence.
+async def run_promote(shell, command: Promote, holding: tenure.Holding) -> int | None:
+    """Tells the platform which backend takes over; the status, 0 for silence, None if the call never left.
+
+    The duty is read at a majority while the connection is made, unless the plan began by a young reading; how old that reading is, and that the duty is still the
+    plan's, is looked at once both are there, and nothing waits between that look and the call.
+    From the moment it leaves the call counts as one that may yet land, until a clear answer is read: also where the
+    plan ends meanwhile. The next plan then begins with a higher fence than that call's.
 
     >>> RUNNERS[Promote] is run_promote
     True
     """
     address = split_address(shell.settings.cloud.addr)
-    duty = shell.office.duty
-    headers = (("X-Holder", shell.settings.node), ("X-Fence", str(duty.fence)))
+    headers = (("X-Holder", shell.settings.node), ("X-Fence", str(holding.duty.fence)))
     body = b'{"svc":"%s","id":"%s"}' % (command.service.encode(), command.backend.encode())
-    path = "/promote"
-    status, _headers, _body = await call(dial, address, "POST", path, body, headers, PROMOTE_CUTOFF_S)
+    left = []
+
+    async def dial_confirmed(host: str, port: int):
+        asking = await curio.spawn(tenure.ask, shell, holding, daemon=True)
+        try:
+            sock = await dial(host, port)
+        except BaseException:
+            await asking.cancel()
+            raise
+        try:
+            if await tenure.confirm(shell, holding, await asking.join()):
+                left.append(shell.doubts.get(command.service))
+                shell.doubts[command.service] = Doubted(holding.duty.fence, shell.now() + tenure.FLIGHT_S)
+                return sock
+        except BaseException:
+            await sock.close()
+            raise
+        await sock.close()
+        raise ConnectionAbortedError("the duty is not confirmed")
+
+    pause = tenure.pause_of(shell.platform_calls, shell.settings.cloud.duty_per_s, shell.now())
+    shell.platform_calls.append(shell.now() + pause)
+    if pause:
+        await curio.sleep(pause)
+    status, _headers, _body = await call(dial_confirmed, address, "POST", "/promote", body, headers, PROMOTE_CUTOFF_S)
+    if 200 <= status < 300:
+        shell.doubts.pop(command.service, None)
+        shell.doubts.update({command.service: before for before in left if before})
+    if not left:
+        scribe.say("no promotion of %s for %s: no connection, or the duty is not confirmed", command.backend, command.service)
+        return None
     scribe.say("the platform answered %d to the promotion of %s for %s", status, command.backend, command.service)
     return status
 
 
 @runs(Announce)
-async def run_announce(shell, command: Announce) -> None:
+async def run_announce(shell, command: Announce, _holding=None) -> None:
     """Word to all counters, by way of their registrars.
 
     >>> RUNNERS[Announce] is run_announce
@@ -113,19 +181,29 @@
 
 
 @runs(Fence)
-async def run_fence(shell, command: Fence) -> bool:
-    """The duty anew: the same holder, a higher fence.
+async def run_fence(shell, command: Fence, holding: tenure.Holding) -> bool:
+    """The duty anew, the same holder with a higher fence, unless our fence is above the unclear call's already.
+
+    Where the platform checks no fences, waits until that call can't land any more.
 
     >>> RUNNERS[Fence] is run_fence
     True
     """
     office = shell.office
-    result = await shell.decide(duties.DUTY, claim_duty(office.me, office.nonce, office.duty))
-    return result.is_ok()
+    doubt = shell.doubts.get(command.service, Doubted(holding.duty.fence, -1e9))
+    if not shell.settings.bounds.fencing and doubt.until > shell.now():
+        await curio.sleep(doubt.until - shell.now())
+    if duties.is_ours(office) and office.duty.fence <= doubt.fence:
+        await shell.decide(duties.DUTY, claim_duty(office.me, office.nonce, office.duty))
+    # whatever the answer was: what counts is which fence of ours is decided now
+    if not duties.is_ours(office) or office.duty.fence <= doubt.fence:
+        return False
+    holding.move_on(office.duty)
+    return True
 
 
 @runs(Look)
-async def run_look(shell, command: Look) -> set:
+async def run_look(shell, command: Look, _holding=None) -> set:
     """Who is there now.
 
     >>> RUNNERS[Look] is run_look
@@ -135,18 +213,8 @@
             if record.service == command.service and record.phase != "gone" and record.role != "primary"}
 
 
-@runs(Doubt)
-async def run_doubt(shell, command: Doubt) -> None:
-    """An unclear call: the next plan begins with a higher fence.
-
-    >>> RUNNERS[Doubt] is run_doubt
-    True
-    """
-    shell.doubts.add(command.service)
-
-
 @runs(Rest)
-async def run_rest(shell, command: Rest) -> None:
+async def run_rest(shell, command: Rest, _holding=None) -> None:
     """A pause.
 
     >>> RUNNERS[Rest] is run_rest
@@ -155,7 +223,7 @@
     await curio.sleep(command.seconds)
 
 
-async def run_batch(shell, commands: list) -> dict:
+async def run_batch(shell, commands: list, holding: tenure.Holding) -> dict:
     """Runs commands side by side; gives each one's outcome.
 
     Once a backend has answered, the silent ones are waited for a little only, but for patient commands.
@@ -165,7 +233,7 @@
     """
     outcomes = dict.fromkeys(commands)
 
-    tasks = {command: await curio.spawn(RUNNERS[type(command)], shell, command) for command in commands}
+    tasks = {command: await curio.spawn(RUNNERS[type(command)], shell, command, holding) for command in commands}
     first_at = None
     while any(not task.terminated for task in tasks.values()):
         if first_at is None and any(
@@ -183,19 +251,19 @@
     return outcomes
 
 
-async def run_plan(shell, plan):
-    """Walks a plan to its end; gives what it returns. Stops if the duty is lost.
+async def run_plan(shell, plan, holding: tenure.Holding):
+    """Walks a plan to its end; gives what it returns. Stops if the duty is lost, or if we stood still meanwhile.
 
     >>> run_plan.__name__
     'run_plan'
     """
+    began_at = shell.now()
     try:
         commands = next(plan)
         while True:
-            stood_still = shell.now() - shell.ticked_at > STOOD_STILL_S     # frozen and woken: the duty may have moved on
-            if stood_still or not duties.holds_duty(shell.office, shell.now()):
+            if stood_still(shell, began_at) or not duties.holds_duty(shell.office, shell.now()):
                 plan.close()
                 return None
-            commands = plan.send(await run_batch(shell, commands))
+            commands = plan.send(await run_batch(shell, commands, holding))
     except StopIteration as end:
         return end.value
--- a/sumacloom/registrar/failover.py
+++ b/sumacloom/registrar/failover.py
@@ -23,7 +23,7 @@
 
 
 class Promote(NamedTuple):
-    """A call to the platform; its outcome is the HTTP status, or 0 for silence."""
+    """A call to the platform; its outcome is the HTTP status, 0 for silence, or None if it never left."""
 
     service: str
     backend: str
@@ -43,17 +43,13 @@
 
 
 class Fence(NamedTuple):
-    """Takes the duty anew, with a higher fence; its outcome is whether that was decided."""
-
-
-class Look(NamedTuple):
-    """Looks at the roster; its outcome is the set of names of the service's backends that are there."""
+    """Sees to a fence above that of an earlier unclear call; its outcome is whether that is decided."""
 
     service: str
 
 
-class Doubt(NamedTuple):
-    """Remembers that a call for the service may yet land."""
+class Look(NamedTuple):
+    """Looks at the roster; its outcome is the set of names of the service's backends that are there."""
 
     service: str
 
@@ -106,17 +102,18 @@
 
 
 def promote(service: str, target: Record):
-    """Calls the platform: True if it says that the backend leads, False if it says no, None if unclear.
+    """Calls the platform: True if it says that the backend leads, False if it says no, None if unclear or not sent.
 
     >>> plan = promote("s", Record("i", "s", "a", "z")); next(plan)
     [Promote(service='s', backend='i')]
     """
     command = Promote(service, target.name)
     status = (yield [command])[command]
+    if status is None:
+        return None
     if 200 <= status < 300:
         yield [Announce(service, SOON_S)]
         return True
-    yield [Doubt(service)]
     return False if 400 <= status < 500 and status not in (408, 429) else None
 
 
@@ -134,7 +131,7 @@
     ['STAT']
     """
     everyone = replicas + ([dead] if dead else [])
-    if doubtful and not (yield from raise_fence()):
+    if doubtful and not (yield from raise_fence(service)):
         return ""
     rows = rows_of((yield [Ask(backend, "STAT", sync_acks > 0 and backend is not dead) for backend in everyone]))
     leads = leading(rows)
@@ -160,13 +157,13 @@
     return target.name if done else ""
 
 
-def raise_fence():
-    """Takes the duty anew with a higher fence, so that an earlier call still on its way is refused.
+def raise_fence(service: str):
+    """Sees to a higher fence, so that an earlier call still on its way is refused.
 
-    >>> next(raise_fence())
-    [Fence()]
+    >>> next(raise_fence("s"))
+    [Fence(service='s')]
     """
-    command = Fence()
+    command = Fence(service)
     return (yield [command])[command]
 
 
@@ -204,7 +201,7 @@
     frozen = [backend for backend, row in rows.items() if row.held > rows[leads].term]
     if frozen:
         command = Promote(service, leads.name)      # the present primary: nothing changes but the fence seen
-        if not 200 <= (yield [command])[command] < 300:
+        if not 200 <= ((yield [command])[command] or 0) < 300:
             return ""
         yield [Ask(backend, "CONT") for backend in frozen]
     return leads.name
@@ -214,22 +211,24 @@
     """A new holder, or one with an unclear call behind it, looks at a service whose primary may be well.
 
     >>> next(look_over("s", []))
-    [Fence()]
+    [Fence(service='s')]
     """
-    if not (yield from raise_fence()):
+    if not (yield from raise_fence(service)):
         return ""
     rows = rows_of((yield [Ask(backend, "STAT", True) for backend in everyone]))
     leads = leading(rows)
     return (yield from confirm(service, leads, rows)) if leads else ""
 
 
-def hand_over(service: str, leaver: Record, replicas: list[Record], sync_acks: int = 0):
+def hand_over(service: str, leaver: Record, replicas: list[Record], sync_acks: int = 0, doubtful: bool = False):
     """The primary is to go, in order: it steps down, a replica catches up, that one is promoted.
 
     >>> plan = hand_over("s", Record("p", "s", "a", "z"), [Record("i", "s", "a", "z")])
     >>> [ask.backend.name for ask in next(plan)]
     ['i', 'p']
     """
+    if doubtful and not (yield from raise_fence(service)):
+        return ""
     rows = rows_of((yield [Ask(backend, "STAT", sync_acks > 0) for backend in [*replicas, leaver]]))
     own = rows.pop(leaver, None)
     leads = [backend for backend, row in rows.items() if row.role == "primary"]
@@ -303,9 +302,9 @@
     leaver = living[0]
     elsewhere = [record for record in good if record.zone not in zones]
     if len(living) == 1 and leaver.phase == "draining" and good:
-        return "hand_over", hand_over(service, leaver, replicas if sync_acks else good, sync_acks)
+        return "hand_over", hand_over(service, leaver, replicas if sync_acks else good, sync_acks, doubtful)
     if len(living) == 1 and leaver.zone in zones and elsewhere:
-        return "hand_over", hand_over(service, leaver, elsewhere, sync_acks)
+        return "hand_over", hand_over(service, leaver, elsewhere, sync_acks, doubtful)
     if doubtful and sync_acks:
         return "look_over", look_over(service, there)
     return None
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -30,6 +30,7 @@
         self.minds, self.minded_at = set(), now
         self.lanes_at, self.readings = now, access.Readings(now)
         self.duty = None                           # the failover duty's decided DutyValue
+        self.duty_since, self.duty_before = now, ""       # when this holding began here, and who held it before
         self.duty_vacant_since, self.unfit_until = None, -1e9
         self.beaten_at = self.shared_at = self.told_whole_at = -1e9
         self.told_state = None
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -1,6 +1,7 @@
 """The registrar's shell: sockets, disk and clock around the office."""
 import random
 import time
+from collections import deque
 
 import curio
 
@@ -15,6 +16,7 @@
 from . import access_calls, admin, ctl  # noqa: F401  (access_calls serves calls)
 from .access import Stamps
 from .caretaker import mind_backends
+from .errands import Doubted, note_tick
 from .pooling import hear_minds
 from .spool import take_intent, take_verdict
 from .syncing import sync_disk
@@ -41,13 +43,14 @@
         self.syncing = self.disk_ill = self.was_settled = False
         self.flipped_at = None
         self.dialled: set[str] = set()
-        self.ticked_at = self.now()
+        self.ticked_at, self.stood_still_at = self.now(), -1e9
         self.out_links: dict[str, Link] = {}       # peer ip: link we dialled
         self.in_links: dict[str, Link] = {}        # peer ip: link it dialled; used until ours stands
         self.counters: dict[str, Link] = {}        # node: its link
         self.waiting: list[tuple] = []             # (proposal, event)
         self.plans, self.probing, self.misses = {}, set(), {}
-        self.doubts: set[str] = set()              # services for which a promotion may yet land
+        self.doubts: dict[str, Doubted] = {}       # services for which a promotion may yet land
+        self.platform_calls = deque()              # when the last calls to the platform left
         self.duty_known = None                     # the holding of the duty that the doubts belong to
         self.parts: dict[int, dict] = {}           # inquiry: peer ip: its tables
         self.inquiries = 0
@@ -276,7 +279,8 @@
             await curio.sleep(TICK_S)
             if self.signals.take_hangup() or self.watch.changed(self.now()):
                 self.reread()
-            now = self.ticked_at = self.now()
+            now = self.now()
+            note_tick(self, now)
             self.office.tick(now)
             self.note_settled(now)
             for peer in set(self.office.others()) - self.dialled:
--- a/sumacloom/registrar/taking.py
+++ b/sumacloom/registrar/taking.py
@@ -70,6 +70,9 @@
     if office.duty is None or found.fence >= office.duty.fence:
         if found != office.duty:
             scribe.say("the failover duty is with %s, fence %d", found.holder or "nobody", found.fence)
+        if office.duty is None or (found.holder, found.nonce) != (office.duty.holder, office.duty.nonce):
+            office.duty_since = now
+            office.duty_before = office.duty.holder if office.duty else ""
         office.duty = found
 
 
--- /dev/null
+++ b/tests/dutyland.py
@@ -0,0 +1,325 @@
+"""Registrars that hold the failover duty in virtual time: real offices, real plans and errands; backends and platform stand in.
+
+Tasks are the real coroutines, run by a small scheduler in place of curio. A process may be frozen, and thawed with
+all that it was sent meanwhile; what runs first after that, its clock, its tasks or its post, is drawn by the seed.
+"""
+from collections import deque
+from types import SimpleNamespace
+from typing import NamedTuple
+
+import pytest
+
+from sumacloom.agreement.values import DutyValue, decode
+from sumacloom.common.blueprint import Blueprint, Service
+from sumacloom.courier.messages import Unframer, frame
+from sumacloom.courier.news import Record
+from sumacloom.registrar import caretaker, duties, errands, tenure
+from sumacloom.registrar.failover import Ask, read_row
+
+from .test_voters import Land
+
+STEP_S = 0.02
+SERVICES = {"s": 0, "t": 1}                    # service: syncAcks
+
+
+class Trap:
+    """What a coroutine waits for."""
+
+    def __init__(self, ready):
+        self.ready = ready
+
+    def __await__(self):
+        yield self
+
+
+class Task:
+    """A coroutine of one process."""
+
+    def __init__(self, coroutine):
+        self.coroutine, self.terminated, self.result, self.trap = coroutine, False, None, None
+
+    def run(self):
+        while not self.terminated and (self.trap is None or self.trap.ready()):
+            try:
+                self.trap = self.coroutine.send(None)
+            except StopIteration as end:
+                self.terminated, self.result = True, end.value
+
+    async def join(self):
+        await Trap(lambda: self.terminated)
+        return self.result
+
+    async def cancel(self):
+        self.terminated = True
+        self.coroutine.close()
+
+
+class Process:
+    """One life of a registrar: what plans and errands use of a shell."""
+
+    def __init__(self, world, ip, office):
+        self.world, self.ip, self.office, self.settings = world, ip, office, office.settings
+        self.plans, self.probing, self.misses, self.nobody_since = {}, set(), {}, {}
+        self.doubts, self.duty_known, self.platform_calls = {}, None, deque()
+        self.ticked_at, self.stood_still_at = world.now, -1e9
+        self.tasks = []
+
+    def now(self):
+        return self.world.now
+
+    def announce(self, message):
+        """Word to counters, of which there are none."""
+
+    async def act(self):
+        """What is put out leaves with the next step."""
+
+    async def decide(self, key, change, reading=False):
+        proposal = self.office.propose(key, change, self.now(), reading)
+        await Trap(lambda: proposal.outcome is not None)
+        return proposal.outcome
+
+    def clock(self):
+        errands.note_tick(self, self.now())
+        self.office.tick(self.now())
+        Task(caretaker.mind_backends(self, self.now())).run()
+
+    def end(self):
+        for task in self.tasks:
+            task.coroutine.close()
+
+    def work(self):
+        for task in list(self.tasks):
+            task.run()
+        self.tasks = [task for task in self.tasks if not task.terminated]
+
+
+class Call(NamedTuple):
+    """One call to the platform, as it left."""
+
+    ip: str
+    holder: str
+    fence: int
+    service: str
+    backend: str
+    sent_at: float
+    answer: list
+
+
+class DutyLand(Land):
+    """The world, and what must hold in it."""
+
+    def __init__(self, seed, fencing, lease_ms=0):
+        self.fencing, self.lease_ms = fencing, lease_ms
+        self.processes, self.frozen, self.backlog = {}, set(), {}
+        self.fences, self.newest_duty = {}, (0, None, -1e9)        # fence: (holder, nonce); (fence, holder, since)
+        self.calls, self.underway, self.seen, self.asked = [], [], {}, {}
+        self.unclear, self.arrived = {}, []
+        self.dark = {}
+        self.rows = {service: {f"{service}{number}": ["primary" if number == 0 else "replica", 3, 0]
+                               for number in range(3)} for service in SERVICES}
+        super().__init__(seed, loss=0.01)
+        self.run(2.6)
+
+    # ------------------------------------------------------------ processes
+    def start(self, ip, bootstrap=False):
+        super().start(ip, bootstrap)
+        one = self.offices[ip]
+        one.settings.bounds.fencing, one.settings.bounds.lease_ms = self.fencing, self.lease_ms
+        one.settings.cloud.addr = "10.9.9.9:80"
+        one.roster.sweep, one.roster.suspects = lambda now: [], lambda beat_s, now: []
+        one.roster.dark_since = lambda name, voters, now: self.dark.get(name)
+        one.board.blueprint = Blueprint(1, svcs=[Service(name, sync_acks=acks) for name, acks in SERVICES.items()])
+        original = one.settle
+
+        def settle(key, ballot, value, now):
+            if key == duties.DUTY:
+                found = decode(DutyValue, value)
+                if found.holder:
+                    assert self.fences.setdefault(found.fence, (found.holder, found.nonce)) == (found.holder, found.nonce)
+                if found.fence > self.newest_duty[0]:
+                    changed = found.holder != self.newest_duty[1]
+                    self.newest_duty = (found.fence, found.holder, self.now if changed else self.newest_duty[2])
+            return original(key, ballot, value, now)
+        one.settle = settle
+        self.processes[ip] = Process(self, ip, one)
+        self.show()
+
+    def show(self):
+        """Every registrar sees the backends as they are."""
+        records = {name: Record(name, service, "10.0.1.1:80", "a", role=row[0])
+                   for service, rows in self.rows.items() for name, row in rows.items()}
+        for one in self.offices.values():
+            one.board.records = dict(records)
+
+    def kill(self, ip, disk=True):
+        super().kill(ip, disk)
+        self.processes.pop(ip).end()
+        self.frozen.discard(ip)
+        self.backlog.pop(ip, None)
+
+    def freeze(self, ip):
+        self.frozen.add(ip)
+        self.backlog.setdefault(ip, [])
+
+    def thaw(self, ip):
+        self.frozen.discard(ip)
+        process, post = self.processes[ip], self.backlog.pop(ip)
+
+        def read():
+            for peer, message in post:
+                process.office.hear(peer, Unframer().feed(frame(message))[0], self.now)
+        steps = [read, process.clock, process.work]
+        self.random.shuffle(steps)
+        for step in steps:
+            step()
+
+    def step(self):
+        self.now = round(self.now + STEP_S, 6)
+        for ip in self.random.sample(sorted(self.offices), len(self.offices)):
+            if ip in self.frozen:
+                continue
+            one, process = self.offices[ip], self.processes[ip]
+            halves = [process.clock, process.work]
+            self.random.shuffle(halves)
+            for half in halves:
+                half()
+            if one.storage.batches:
+                batches = one.storage.take()
+                one.storage.sync(batches)
+                one.written(batches, self.now)
+            post, one.outbox = one.outbox, []
+            self.post += [(self.now + self.random.expovariate(50), ip, peer, message)
+                          for peer, message in post if self.random.random() >= self.loss]
+        due = [entry for entry in self.post if entry[0] <= self.now]
+        self.post = [entry for entry in self.post if entry[0] > self.now]
+        for _at, ip, peer, message in sorted(due, key=lambda entry: entry[0]):
+            if peer not in self.offices or frozenset((ip, peer)) in self.cut:
+                continue
+            if peer in self.frozen:
+                self.backlog[peer].append((ip, message))
+            else:
+                self.offices[peer].hear(ip, Unframer().feed(frame(message))[0], self.now)
+
+    # ------------------------------------------------------------ what stands in
+    async def spawn(self, function, *values, daemon=False):
+        task = Task(function(*values))
+        values[0].tasks.append(task)
+        return task
+
+    async def sleep(self, seconds):
+        until = self.now + seconds
+        await Trap(lambda: self.now >= until)
+
+    async def ask(self, process, command: Ask, holding=None, cutoff_s=0.7):
+        """A backend answers within a step, but a dark one, which is silent."""
+        service, name = command.backend.service, command.backend.name
+        await self.sleep(STEP_S)
+        if name in self.dark:
+            await self.sleep(cutoff_s)
+            return None
+        row = self.rows[service][name]
+        word, _space, term = command.text.partition(" ")
+        if word == "STAT":
+            self.asked[service, process.ip] = self.now
+        if word == "PAUSE":
+            row[2] = max(row[2], int(term))
+        elif word == "CONT":
+            row[2] = 0
+        elif word == "STEPDOWN" and row[0] == "primary":
+            row[0] = "replica"
+            self.show()
+        return read_row(f"{row[0]} {row[1]} {row[1]}.9 {row[2]} 0 0 0")
+
+    async def dial(self, _host, _port):
+        await self.sleep(STEP_S * self.random.choice([1, 2, 10, 25, 38]))
+        return SimpleNamespace(close=self.act)
+
+    async def act(self):
+        """A socket that is closed."""
+
+    async def call(self, dial, address, _method, _path, body, headers, cutoff_s):
+        """The connection, then the call in the same moment, then its answer or the cutoff.
+
+        After a freeze the call goes on as if no cutoff had passed: the confirmation alone must hold it back.
+        """
+        began_at = self.now
+        try:
+            await dial(*address)
+        except OSError:
+            return 0, {}, b""
+        service, backend = body.decode().split('"')[3::4]
+        fields = dict(headers)
+        holder = next(ip for ip, one in self.offices.items() if one.settings.node == fields["X-Holder"])
+        call = Call(holder, fields["X-Holder"], int(fields["X-Fence"]), service, backend, self.now, [])
+        self.check_sent(call)
+        self.calls.append(call)
+        self.unclear[service] = call                    # until a clear answer is read
+        self.underway.append(call)
+        await Trap(lambda: call.answer or self.now - began_at > cutoff_s)
+        status = call.answer[0] if call.answer else 0
+        if 200 <= status < 300 and self.unclear.get(service) is call:
+            del self.unclear[service]
+        return status, {}, b""
+
+    def check_sent(self, call):
+        """What must hold as a call leaves."""
+        process = self.processes[call.ip]
+        assert self.fences.get(call.fence) == (call.ip, process.office.nonce), "another's fence, or none that was decided"
+        _fence, holder, since = self.newest_duty
+        assert holder == call.ip or self.now - since <= tenure.CONFIRMED_S + STEP_S, "the duty had long moved on"
+        doubted = self.unclear.get(call.service)
+        if doubted:
+            assert call.fence > doubted.fence, "repeated with the fence of the unclear call"
+            assert self.asked.get((call.service, call.ip), -1e9) > doubted.sent_at, "repeated blindly"
+        if not self.fencing:
+            others = [old for old in self.calls if old.fence < call.fence and old.ip != call.ip]
+            assert all(self.now - old.sent_at >= tenure.FLIGHT_S for old in others), "two holders inside the bound"
+        if self.lease_ms:
+            others = [old for old in self.calls if old.ip != call.ip and self.in_touch(old.ip, call.ip)]
+            assert all(self.now - old.sent_at >= self.lease_ms / 1000 for old in others), "took turns inside the lease"
+
+    def in_touch(self, old, new):
+        """Whether the new holder hears the old one."""
+        return old in self.offices and old not in self.frozen and self.offices[new].alive(old, self.now)
+
+    def arrive(self, call, answer):
+        """The platform reads a call; where it checks no fences, it is gone FLIGHT_S after it left."""
+        self.underway.remove(call)
+        if not self.fencing and self.now - call.sent_at > tenure.FLIGHT_S:
+            return
+        seen = self.seen.get(call.service, 0)
+        if call.fence < seen and self.fencing:
+            status = 409
+        else:
+            assert call.fence >= seen, "a lower fence than the platform has seen"
+            self.seen[call.service] = call.fence
+            status = 409 if call.backend in self.dark else 200
+            rows = self.rows[call.service]
+            if status == 200 and rows[call.backend][0] != "primary":
+                term = max(row[1] for row in rows.values()) + 1
+                self.rows[call.service] = {name: ["primary" if name == call.backend else "replica", term, 0 if name == call.backend else row[2]]
+                                           for name, row in rows.items()}
+                self.show()
+        if answer:
+            call.answer.append(status)
+
+    def end(self):
+        """The play is over."""
+        for process in self.processes.values():
+            process.end()
+
+    def holders(self):
+        return [ip for ip, one in self.offices.items() if duties.holds_duty(one, self.now)]
+
+
+def staged(patch: pytest.MonkeyPatch, world: DutyLand) -> DutyLand:
+    """The real caretaker and errands over the stand-ins."""
+    stand_in = SimpleNamespace(spawn=world.spawn, sleep=world.sleep)
+    for module in (errands, caretaker):
+        patch.setattr(module, "curio", stand_in)
+    patch.setattr(errands, "call", world.call)
+    patch.setattr(errands, "dial", world.dial)
+    patch.setitem(errands.RUNNERS, Ask, world.ask)
+    return world
+
+
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sumacloom.courier.news import Record
-from sumacloom.registrar.failover import (Announce, Ask, Doubt, Fence, Look, Promote, Rest, draw_plan, hand_over,
+from sumacloom.registrar.failover import (Announce, Ask, Fence, Look, Promote, Rest, draw_plan, hand_over,
                                           look_over, read_row, replace_dead)
 
 
@@ -35,7 +35,7 @@
                 elif isinstance(command, Look):
                     results[command] = outcomes.get("there", {"p", "q", "r"})
                 else:
-                    assert isinstance(command, (Rest, Announce, Doubt))
+                    assert isinstance(command, (Rest, Announce))
                     results[command] = None
             commands = plan.send(results)
     except StopIteration as end:
@@ -154,3 +154,20 @@
 def test_which_plan_is_drawn(records, zones, dark, expected):
     drawn = draw_plan("s", records, zones, dark.get, 0, 10.0, 0.5, 9.0)
     assert (drawn and drawn[0]) == expected
+
+
+@pytest.mark.parametrize("sync", [0, 1])
+def test_a_primary_in_an_evacuated_zone_is_handed_over_to_another_zone(sync):
+    near = {("p", "STAT"): row("primary", 3, "3.9"), ("q", "STAT"): row("replica", 3, "3.9"),
+            ("r", "STAT"): [row("replica", 3, "3.8"), row("replica", 3, "3.9")], ("p", "STEPDOWN"): row("replica", 4, "3.9")}
+    _name, plan = draw_plan("s", [P, Q, R], ["a"], lambda name: None, sync, 10.0, 0.5, None)
+    asked, leads = play(plan, Turning(near))
+    assert leads == "r" and ("platform", "r") in asked and ("platform", "q") not in asked
+
+
+def test_a_plan_behind_an_unclear_call_sees_to_its_fence_first():
+    for plan in (replace_dead("s", P, [Q, R], 0, True), hand_over("s", P, [Q, R], 0, True)):
+        asked, _leads = play(plan, {("q", "STAT"): row("replica", 3, "3.9"), "fence": False})
+        assert asked == [("register", "fence")]
+    drawn = draw_plan("s", [P, Q, R], ["a"], lambda name: None, 0, 10.0, 0.5, None, True)
+    assert next(drawn[1]) == [Fence("s")]
