The capacity tool's fleets have loopback addresses of their own

Cause: all runs on one machine shared 127.0.2.x and 127.1.x, so two checkouts under test at once gave "a registrar tells its counts: not within 20 s" or a negative slope. Change: the net follows the process.

--- a/capacity/fleet.py
+++ b/capacity/fleet.py
@@ -13,6 +13,7 @@
 CTL, PORTS, PER_PROCESS, BEAT_S = 17200, (17210, 17225), 50, 1.2
 REGISTRARS = 3
 TICKS = os.sysconf("SC_CLK_TCK")
+NET = f"127.{32 + os.getpid() % 64}.{os.getpid() // 64 % 64}"      # of this run alone: two may share a machine
 
 
 def settings(number: int, folder: str) -> str:
@@ -21,10 +22,10 @@
     >>> "voting = true" in settings(1, "/tmp/x")
     True
     """
-    seeds = json.dumps([f"127.0.2.{one}:{CTL}" for one in range(1, REGISTRARS + 1)])
+    seeds = json.dumps([f"{NET}.{one}:{CTL}" for one in range(1, REGISTRARS + 1)])
     return f'''node = "core-{number}"
 role = "registrar"
-ip = "127.0.2.{number}"
+ip = "{NET}.{number}"
 az = "zone-{'abc'[number - 1]}"
 portRange = [{PORTS[0]}, {PORTS[1]}]
 seeds = {seeds}
@@ -37,13 +38,13 @@
 zone-b = "middle"
 zone-c = "south"
 [listen]
-ctl = "127.0.2.{number}:{CTL}"
+ctl = "{NET}.{number}:{CTL}"
 '''
 
 
 def call(number: int, method: str, path: str, body: bytes = b"", headers: dict | None = None, cutoff_s: float = 5.0):
     """A call to a registrar: (status, body)."""
-    link = http.client.HTTPConnection(f"127.0.2.{number}", CTL, timeout=cutoff_s)
+    link = http.client.HTTPConnection(f"{NET}.{number}", CTL, timeout=cutoff_s)
     try:
         link.request(method, path, body or None, headers or {})
         reply = link.getresponse()
@@ -87,7 +88,7 @@
         self.until("the registrars answer", lambda: all(
             call(number, "GET", "/api/admin/registrars")[0] == 200 for number in range(1, REGISTRARS + 1)))
         self.put()
-        seeds = ",".join(f"127.0.2.{number}:{CTL}" for number in range(1, REGISTRARS + 1))
+        seeds = ",".join(f"{NET}.{number}:{CTL}" for number in range(1, REGISTRARS + 1))
         for first in range(0, self.counters, PER_PROCESS):
             count = min(PER_PROCESS, self.counters - first)
             self.hollows.append(subprocess.Popen(
@@ -122,7 +123,7 @@
     def beat(self, share: int) -> None:
         """Every backend says that it is there, once in 1.2 s, over one connection for each registrar."""
         seq = 0
-        link = http.client.HTTPConnection(f"127.0.2.{share + 1}", CTL, timeout=5.0)
+        link = http.client.HTTPConnection(f"{NET}.{share + 1}", CTL, timeout=5.0)
         while not self.over.is_set():
             began, seq = time.monotonic(), seq + 1
             for number in range(share, self.backends, REGISTRARS):
--- a/capacity/hollow.py
+++ b/capacity/hollow.py
@@ -19,20 +19,20 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
-def address(number: int) -> str:
-    """The loopback address of a hollow counter.
+def address(number: int, seed: str) -> str:
+    """The loopback address of a hollow counter, in a net that goes with its registrars'.
 
-    >>> address(0), address(300)
-    ('127.1.0.1', '127.1.1.51')
+    >>> address(0, "127.40.3.1:17200"), address(300, "127.40.3.1:17200")
+    ('127.104.0.1', '127.104.1.51')
     """
-    return f"127.1.{number // 250}.{number % 250 + 1}"
+    return f"127.{64 + int(seed.split('.')[1])}.{number // 250}.{number % 250 + 1}"
 
 
 class Hollow:
     """One counter's membership and board."""
 
     def __init__(self, number: int, seeds: list[str]):
-        ip = address(number)
+        ip = address(number, seeds[0])
         self.settings = Settings(f"edge-{number:05d}", "counter", ip, ZONES[number % 3], seeds=seeds, port_range=PORTS)
         self.took = {}                               # blueprint: when it came
         self.member = Member(self.settings, time.monotonic, self.take_news, Yard(self.settings), [], dict, number + 1)
--- a/capacity/load.py
+++ b/capacity/load.py
@@ -13,10 +13,10 @@
 from sumacloom.common.lines import LineSplitter, encode
 from sumacloom.courier.links import dial, listen
 
-from .fleet import CTL, PORTS, REGISTRARS, ROOT, TICKS, Fleet, call
+from .fleet import CTL, NET, PORTS, REGISTRARS, ROOT, TICKS, Fleet, call
 
 FE, READY, BACKEND = 17230, 17231, 17232
-IP, PAIR = "127.0.3.1", ("127.0.4.1", "127.0.4.2")
+IP, PAIR = f"{NET}.11", (f"{NET}.21", f"{NET}.22")
 
 
 def settings(folder: str) -> str:
@@ -26,7 +26,7 @@
     'settings'
     """
     path = os.path.join(folder, "counter.toml")
-    seeds = json.dumps([f"127.0.2.{one}:{CTL}" for one in range(1, REGISTRARS + 1)])
+    seeds = json.dumps([f"{NET}.{one}:{CTL}" for one in range(1, REGISTRARS + 1)])
     with open(path, "w", encoding="utf-8") as file:
         file.write(f'''node = "edge-real"
 role = "counter"
