A refused proposal takes a higher ballot though another voter stays silent

Cause: with one voter unevenly cut (it can't be heard by the proposer, but raises the promises of the third), the proposer was refused by the third and waited for the silent one until its cutoff, sending the same ballot again. Ruled out: two proposers outbidding each other; the other one spoke once a second only. Change: what was refused and is still open after RESEND_S backs off and begins anew above what was promised.

--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -165,7 +165,7 @@
         self.round = "prepare"
 
     def alarm(self, now: float) -> list[tuple]:
-        """By the clock: ends at the cutoff, resumes after a backoff, sends again what went unheard.
+        """By the clock: ends at the cutoff, resumes after a backoff or a refusal, sends again what went unheard.
 
         >>> Proposal.alarm.__name__
         'alarm'
@@ -181,6 +181,9 @@
             self.begin(now)
             return self.messages()
         if now - self.sent_at >= RESEND_S:
+            if self.refused:                     # the others may never answer: not to be waited for
+                self.back_off(now)
+                return []
             self.sent_at = now
             if self.round == "query" and self.configuration.has_quorum(self.replies):
                 return self.read(now)
