Contact is dated by our own beat that a peer answers; settled asks a majority's whole word

Cause: a peer counted as in contact by when its beat was read. A registrar that stood still read a backlog and took itself for settled; a beat out of turn ("as last told") was read as "nothing is decided"; a value accepted by one other voter, whose proposer died, was not seen. A counter dated its sureness by reading as well, and a new one became ready by the word of a registrar that was cut off. Change: beats are numbered and name the newest heard of each peer; contact is as old as that beat of ours (1.8 s at most). Whole beats tell also what is accepted and not known to be decided; settled asks a majority of them, answers to beats not older than 2.8 s. A peer newly heard is answered at once. Counters date answers by their own clock; a new one is ready once a settled registrar told it nothing that it lacks, or after 30 s without one.

--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -9,6 +9,7 @@
 from ..common.types import NO_BALLOT, Ballot
 from . import membership, storage
 from .configuration import Configuration
+from .contact import Contact
 from .hearing import HEARERS, KNOWN_S
 from .messages import Decided, Prepare, Tell
 from .proposer import Ballots, Proposal
@@ -41,6 +42,7 @@
         self.need, self.move = (None, now), None   # what the voters' change waits for, and its last step
         self.peers: dict[str, tuple] = {}          # peer ip: (heard at, PeerBeat)
         self.finished_at = -1e9
+        self.contact = Contact(self.nonce & 0x3fffffff)
         self.acceptor = self.open_acceptor()
 
     def take(self, key: str, value: bytes, now: float) -> None:
@@ -176,7 +178,7 @@
         configuration = self.acceptor.configuration
         return configuration.has_quorum([
             peer for peer in configuration.members
-            if peer == self.me or (self.alive(peer, now) and self.me in self.peers[peer][1].hears)])
+            if peer == self.me or (self.alive(peer, now) and self.contact.holds(peer, now) and self.me in self.peers[peer][1].hears)])
 
     def propose(self, key: str, change, now: float, reading: bool = False) -> Proposal:
         """Starts a change or a reading; its `outcome` comes with later inputs.
@@ -277,18 +279,37 @@
             handler(self, peer, message, now)
 
     def settled(self, now: float) -> bool:
-        """Whether we hear a majority, and lack nothing that is decided as far as it tells.
+        """Whether we hear a majority, and lack nothing that it had accepted when it last told.
 
         >>> Node.settled.__name__
         'settled'
         """
         if not self.heard_majority(now) or not self.acceptor.learned:
             return False
-        living = [peer for peer in self.acceptor.configuration.members if self.alive(peer, now)]
-        told = [self.peers[peer][1].decided or {} for peer in living if peer != self.me]
+        configuration = self.acceptor.configuration
+        told = [peer for peer in configuration.members if peer == self.me or self.contact.has_told(peer, now)]
+        return configuration.has_quorum(told) and not self.lacking(now)
+
+    def undecided(self) -> dict[str, Ballot]:
+        """What is accepted here and not known to be decided.
+
+        >>> Node.undecided.__name__
+        'undecided'
+        """
+        newest = {key: self.acceptor.slot(key).accepted for key in self.keys()}
+        return {key: accepted for key, accepted in newest.items() if accepted > self.decided.get(key, (NO_BALLOT,))[0]}
+
+    def lacking(self, now: float) -> list[str]:
+        """The keys of which we, or a voter that is heard, hold something newer than is known here to be decided.
+
+        >>> Node.lacking.__name__
+        'lacking'
+        """
         mine = {key: self.decided.get(key, (NO_BALLOT,))[0] for key in self.keys()}
-        return all(self.acceptor.slot(key).accepted <= mine[key] for key in mine) and not any(
-            Ballot(*ballot) > mine[key] for decided in told for key, ballot in decided.items() if key in mine)
+        told = [self.contact.told[peer][1] for peer in self.acceptor.configuration.members
+                if peer in self.contact.told and self.alive(peer, now)]
+        return sorted({*self.undecided(), *(
+            key for ballots in told for key, ballot in ballots.items() if key in mine and ballot > mine[key])})
 
     def finish_undecided(self, now: float) -> None:
         """The sweep: settles values that are accepted here but not known to be decided.
--- a/sumacloom/counter/floor.py
+++ b/sumacloom/counter/floor.py
@@ -89,7 +89,7 @@
             scribe.say("the priority lane holds: %s", ", ".join(databases) or "nothing")
         unsure = used and not sure
         if unsure and not self.unsure:
-            scribe.say("no settled registrar is heard: not ready, since the lanes may have changed")
+            scribe.say("no settled registrar is heard: not ready, since what is held here may be old")
         self.unsure = unsure
         if unsure:
             moves.close_idle(self, now)
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -10,11 +10,12 @@
 from .gate import Lease
 
 scribe = Scribe("member")
-BEAT_S = 0.35
+BEAT_S, EARLY_S = 0.35, 0.1       # the second while new: what we hold is to be confirmed soon
 QUIET_S = 1.1
 BEHIND_S = 0.5
 SETTLE_S = 4.0
 UNSETTLED_S, MOST_UNSETTLED_S = 0.8, 6.0    # how long a registrar that lacks its majority is kept
+ALONE_S = 30.0         # a new counter that finds no settled registrar for so long serves by what it was told
 CLAIM_S = 2.0          # shorter than the registrars' SESSION_S: a counter doubts before it is given up
 
 
@@ -37,7 +38,8 @@
         self.members = 1
         self.settled = False         # whether members have had the time to be counted
         self.started_at = clock()
-        self.sure_at = None          # when a registrar that lacks nothing last spoke to us
+        self.sure_at = None          # when we sent what a registrar that lacks nothing answered last
+        self.caught_up = False       # whether such a one, ever, told us nothing that we lack
         self.behind_since = None
         self.awake_at = None         # when the clock was last looked at
         self.anew = False            # whether the session ended by a standstill of ours, not by the registrar
@@ -46,6 +48,15 @@
         self.minds = lambda _now: []         # what the floor's pooling has to say
         self.unsettled_since, self.patience = None, UNSETTLED_S
 
+    @property
+    def fresh(self) -> bool:
+        """Whether a settled registrar has answered a beat of ours within the claim.
+
+        >>> Member.fresh.fget.__name__
+        'fresh'
+        """
+        return self.sure_at is not None and self.clock() - self.sure_at < CLAIM_S
+
     @property
     def sure(self) -> bool:
         """Whether what we hold is what the fleet holds: a settled registrar spoke to us within the claim.
@@ -53,7 +64,24 @@
         >>> Member.sure.fget.__name__
         'sure'
         """
-        return self.sure_at is not None and self.clock() - self.sure_at < CLAIM_S
+        return self.informed and self.fresh
+
+    @property
+    def informed(self) -> bool:
+        """Whether we once held all that a settled registrar held, or have looked for one long enough.
+
+        >>> Member.informed.fget.__name__
+        'informed'
+        """
+        return self.caught_up or self.clock() - self.started_at > ALONE_S
+
+    def must_be_sure(self, guarded: bool) -> bool:
+        """Whether this counter may serve only while it is sure: rules that must hold everywhere are in use, or it is new.
+
+        >>> Member.must_be_sure.__name__
+        'must_be_sure'
+        """
+        return guarded or bool(self.board.lanes.order) or not self.informed
 
     def hello(self) -> Hello:
         """How this counter names itself.
@@ -102,7 +130,8 @@
             now = self.clock()
             sightings, self.shared_at = self.yard.sightings(self.shared_at, now), now
             self.session.send(MemberBeat(self.board.digest(), mishaps, sightings, self.report() if reporting else None,
-                                         self.leaving, None if self.lease.until is None else now, self.minds(now)))
+                                         self.leaving, None if self.lease.until is None else now, self.minds(now),
+                                         1 + round((now - self.started_at) * 1000)))
 
     def say(self, message) -> None:
         """A message for the registrar; without a session it is dropped, and said again later.
@@ -209,7 +238,7 @@
         """
         looked_at = self.clock()
         while True:
-            await curio.sleep(BEAT_S)
+            await curio.sleep(BEAT_S if self.informed else EARLY_S)
             now = self.clock()
             if now - link.heard_at > QUIET_S:
                 scribe.say("the registrar at %s went quiet", self.attached)
@@ -281,7 +310,9 @@
             self.yard.take_sightings(message.positions, self.clock())
             self.lease.hear(message.digest.access, self.board.access.order, message.confirmed, self.clock())
             if message.settled:
-                self.sure_at = self.clock()
+                if message.answers_ms:                 # by our own clock: an answer may be read late
+                    self.sure_at = max(self.sure_at or 0.0, self.started_at + (message.answers_ms - 1) / 1000)
+                self.caught_up = self.caught_up or (self.fresh and self.board.holds(message.digest))
                 self.unsettled_since, self.patience = None, UNSETTLED_S
             else:
                 self.unsettled_since = self.unsettled_since or self.clock()
--- a/sumacloom/counter/shell.py
+++ b/sumacloom/counter/shell.py
@@ -252,7 +252,8 @@
             access, now = self.member.board.access, self.now()
             lapsed = not self.member.lease.held(now)
             gate.take_access(self.floor, access, lapsed, now)
-            self.floor.take_lanes(lanes.databases, self.member.sure and not lapsed, bool(lanes.order) or guarded or lapsed, now)
+            used = self.member.must_be_sure(guarded or lapsed)
+            self.floor.take_lanes(lanes.databases, self.member.sure and not lapsed, used, now)
             listeners = self.member.board.listeners
             self.floor.spooling.listen([database for _name, database, _state in listeners.rows],
                                        bool(listeners.generation) and not self.member.sure)
--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -8,6 +8,7 @@
 
 
 MOST_PAST = 4
+GENERATIONS = ("blueprint", "evacuations", "lanes", "listeners", "access", "pooling")
 
 
 def body_digest(packed: bytes) -> str:
@@ -70,6 +71,15 @@
         return Digest(self.blueprint.ver if self.blueprint else 0, self.evacuations, self.known_digest,
                       self.lanes.order, self.listeners.generation, self.access.order, self.pooling)
 
+    def holds(self, digest: Digest) -> bool:
+        """Whether no generation of another's is above ours; records have none.
+
+        >>> Board().holds(Digest()), Board().holds(Digest(blueprint=3))
+        (True, False)
+        """
+        ours = self.digest()
+        return all(getattr(ours, name) >= getattr(digest, name) for name in GENERATIONS)
+
     def take(self, news: News) -> bool:
         """Takes what is newer; tells whether anything was.
 
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -29,6 +29,7 @@
     leaving: bool = False        # it is being stopped: its end is no loss
     stamp: float | None = None   # the sender's own clock, to be confirmed where an access list is in use
     minds: list[tuple[str, str, str, int]] = []   # changes of mind about pool modes, see counter/pooling.py
+    sent_ms: int = 0             # by the sender's own clock; the answer names it
 
 
 class RegistrarBeat(Message):
@@ -43,6 +44,7 @@
     log_level: str = ""
     settled: bool = True         # whether this registrar hears a majority and lacks nothing decided
     confirmed: float | None = None   # the newest stamp older than a reading of the access list at a majority
+    answers_ms: int = 0          # the counter's newest beat heard here, by the counter's own clock; 0: none
 
 
 class Follow(Message):
@@ -74,7 +76,7 @@
     sessions: list[tuple[str, str, str, int, int, int]] | None   # see Members.told; None: as last told
     heard: dict[str, int]                    # backend: ms since its last beat; only those heard anew
     dark: dict[str, int]                     # backend: ms since probes first failed here
-    hears: list[str]
+    hears: dict[str, int]                    # registrar: the number of its newest beat heard here
     records: list[Record] | None
     digest: int                              # of the records held
     learned: bool
@@ -82,6 +84,8 @@
     positions: list[Sighting] = []
     configuration: Configuration | None = None               # who votes, as this registrar knows; None: as last told
     voting: bool = False                     # whether its settings say that it counts as a voter
+    number: int = 0                          # of this beat; the peers name it in `hears`
+    undecided: dict[str, Ballot] = {}        # told with `decided`: what is accepted here and not known to be decided
 
 
 class Inquire(Message):
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -1,4 +1,5 @@
 """What a registrar does with its peers' heartbeats."""
+from ..agreement.contact import newest_ballots
 from ..agreement.hearing import KNOWN_S, hear_decided, hear_configuration, hears
 from ..agreement.messages import Decided, Reconfigured
 from ..common.logs import Scribe
@@ -17,7 +18,11 @@
     """
     if not office.alive(peer, now):
         scribe.say("the registrar %s is heard", peer)
+        office.beaten_at = -1e9                     # it is answered at once: contact is known the sooner
     office.peers[peer] = (now, message)
+    office.contact.hear(peer, message.hears.get(office.me))
+    if message.decided is not None:
+        office.contact.hear_ballots(peer, message.hears.get(office.me), newest_ballots(message.decided, message.undecided))
     office.known.update({peer: now, **{other: max(now - KNOWN_S / 2, office.known.get(other, 0.0)) for other in message.hears}})
     office.roster.hear_peer(peer, message, now)
     office.members.hear_peer(peer, message.sessions, now)
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -83,9 +83,10 @@
             {key: ballot for key, (ballot, _value) in self.decided.items()} if whole else None,
             self.members.told(now) if whole else None,
             self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
-            [peer for peer in self.others() if self.alive(peer, now)],
+            {peer: self.peers[peer][1].number for peer in self.others() if self.alive(peer, now)},
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
             self.acceptor.configuration if whole and self.acceptor.learned else None, self.settings.voting,
+            self.contact.number, self.undecided() if whole else {},
         )
 
     def tell_records(self, records: list, now: float) -> None:
@@ -113,6 +114,7 @@
             if whole:
                 self.told_state, self.told_whole_at = state, now
             sightings = self.roster.sightings(self.shared_at, now, own=True)
+            self.contact.send(now)
             self.tell_all(self.peer_beat(now, None, sightings, whole))
             self.shared_at = now
             self.told_suspects.clear()
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -41,7 +41,7 @@
         self.office = Office(settings, Ledger(settings.datadir), random.SystemRandom(), self.now())
         self.office.storage.prompt = False            # from here on the disk is waited for in a thread of its own
         self.syncing = self.disk_ill = self.was_settled = False
-        self.flipped_at = None
+        self.flipped_at, self.settled_at = None, self.now()
         self.dialled: set[str] = set()
         self.ticked_at, self.stood_still_at = self.now(), -1e9
         self.out_links: dict[str, Link] = {}       # peer ip: link we dialled
@@ -170,7 +170,7 @@
         tune(sock._socket)
         link = Link(sock)
         link.parent, link.shared_at, link.leaving, link.stamps = "", 0.0, False, Stamps()
-        link.report, link.reported_at = None, -1e9
+        link.report, link.reported_at, link.answers_ms = None, -1e9, 0
         try:
             async for message in link.messages():
                 now = self.now()
@@ -214,7 +214,7 @@
             take_verdict(office, node, message, now)
         if not isinstance(message, MemberBeat):
             return
-        link.leaving = message.leaving
+        link.leaving, link.answers_ms = message.leaving, message.sent_ms
         link.stamps.hear(message.stamp, now)
         hear_minds(office, message.minds)
         office.members.hear(node, link.peer.zone, link.peer.address, now, message.digest.lanes,
@@ -246,7 +246,7 @@
         link.shared_at = now
         link.send(RegistrarBeat(
             office.board.digest(), self.counted, link.parent, registrars, sightings, want_report, level,
-            office.settled(now), link.stamps.confirmed(office.readings.read_at)))
+            office.settled(now), link.stamps.confirmed(office.readings.read_at), link.answers_ms))
 
     def announce(self, message: Pending) -> None:
         """Passes word of a coming lead to the counters in session here.
@@ -298,6 +298,8 @@
         'note_settled'
         """
         settled = self.office.settled(now)
+        if settled:
+            self.settled_at = now
         if settled == self.was_settled:
             self.flipped_at = None
             return
@@ -307,6 +309,14 @@
             scribe.say("a majority is heard and nothing decided is lacking" if settled else
                        "no majority is heard, or something decided is lacking")
 
+    def unsettled_s(self) -> float:
+        """For how long no majority has been heard, or something decided was lacking.
+
+        >>> Shell.unsettled_s.__name__
+        'unsettled_s'
+        """
+        return self.now() - self.settled_at
+
     async def serve_ctl(self, sock) -> None:
         """Serves one HTTP connection.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -242,7 +242,7 @@
     roster = Roster(Board())
     roster.probed["p"] = 10.0
     assert roster.dark_since("p", 3, 11.0) is None
-    roster.hear_peer("b", PeerBeat({}, [], {}, {"p": 400}, [], None, 0, True), 10.6)
+    roster.hear_peer("b", PeerBeat({}, [], {}, {"p": 400}, {}, None, 0, True), 10.6)
     assert roster.dark_since("p", 3, 11.0) == pytest.approx(10.2)
     roster.heard_at["p"] = 10.5
     assert roster.dark_since("p", 3, 11.0) is None
