A registrar out of contact sends its callers on, and says whose view its tables are

Cause: a registrar that nobody heard acknowledged draining and DELETE, which no counter in touch learned; refused orders by what it held (an unknown database that the blueprint it lacked may have); held others for 0.85 s; its tables looked like the fleet's. Change: without a majority, orders, GET /api/config and what backends say get 503 at once (1310, Retry-After); beats are heard all the same and passed on after the cut, so that no backend is given up as silent where nobody has a majority. While it is not settled, what it judges by itself is 503 too. Tables carry Sumacloom-View; commands prefer a registrar that hears its majority, else print a line (1311) and end with 7. fleet voters tells who votes, learns, lacks, is cut off and for how long.

--- a/sumacloom/common/http.py
+++ b/sumacloom/common/http.py
@@ -10,6 +10,7 @@
 MOST_BODY = 4 << 20
 MOST_HEAD = 16 << 10
 IDLE_S = 30.0
+AGAIN_S = "1"            # when a refusal for now may be tried again at the same place; at another, at once
 READ_S = 8.0
 LINGER_S, MOST_LINGER = 0.5, 1 << 20
 
@@ -55,7 +56,7 @@
     >>> mishap_reply(mishap("no_route")).status
     404
     """
-    return json_reply(found.status, found.body())
+    return json_reply(found.status, found.body(), (("Retry-After", AGAIN_S),) if found.status == 503 else ())
 
 
 async def serve_wire(sock, handler, most_body: int = MOST_BODY) -> None:
--- a/sumacloom/common/results.py
+++ b/sumacloom/common/results.py
@@ -44,6 +44,8 @@
     "stale_match": (1202, 412, 5, "another generation is current"),
     "nothing_to_undo": (1203, 409, 5, "nothing is kept to go back to"),
     "no_majority": (1301, 503, 6, "no majority of the registrars answered in time"),
+    "out_of_touch": (1310, 503, 6, "this registrar hears no majority of the registrars: another may"),
+    "own_view": (1311, 0, 7, "what is shown is one registrar's own view"),
     "rejoining": (1302, 503, 6, "this registrar is still learning its state"),
     "unreachable": (1303, 0, 6, "no registrar could be reached"),
     "garbled": (1304, 0, 6, "a daemon answered garbage"),
--- a/sumacloom/fleet/client.py
+++ b/sumacloom/fleet/client.py
@@ -26,6 +26,7 @@
     status: int
     body: bytes
     address: str
+    view: str = ""               # "own 12000": one registrar's, and for how many ms it has been alone
 
 
 def find_registrars(at: str) -> Result:
@@ -71,7 +72,7 @@
             if split_address(place) is None:
                 return None
             return call_one(place, method, "/" + rest, body, headers, hops + 1)
-        return Outcome(reply.status, data, address)
+        return Outcome(reply.status, data, address, reply.headers.get("Sumacloom-View", ""))
     except (OSError, http.client.HTTPException):
         return None
     finally:
@@ -89,12 +90,17 @@
     'unreachable'
     """
     started, pause, number = clock(), 0.1, 0
-    last = mishap("unreachable", f"no registrar could be reached at {', '.join(addresses)}")
+    alone, last = None, mishap("unreachable", f"no registrar could be reached at {', '.join(addresses)}")
     while True:
         outcome = call_one(addresses[number % len(addresses)], method, path, body, headers or {})
         number += 1
+        if outcome and outcome.view and outcome.status < 300 and number < len(addresses):
+            alone = outcome                      # another may know better
+            continue
         if outcome and outcome.status < 500 and outcome.status not in AGAIN:
             return Ok(outcome) if outcome.status < 300 else Err(read_mishap(outcome))
+        if alone and number >= len(addresses):
+            return Ok(alone)
         if outcome:
             last = read_mishap(outcome)
         if number >= len(addresses) and clock() - started >= patience_s:
--- a/sumacloom/fleet/commands.py
+++ b/sumacloom/fleet/commands.py
@@ -6,7 +6,7 @@
 
 from ..common.results import Err, Ok, Result, mishap
 from . import access, client, pooling
-from .calls import ask, finish, print_rows, table
+from .calls import ask, finish, look, print_rows, table
 from .orders import listen, listeners, undo, unlisten
 from .tables import query as run_query
 
@@ -19,7 +19,7 @@
     """
     def show(fleet):
         print(globals()["json"].dumps(fleet) if json else "\n".join(sum_up(fleet)))
-    return finish(ask(at, "GET", "/api/admin/fleet", dict), show)
+    return look(at, "/api/admin/fleet", dict, show)
 
 
 def sum_up(fleet: dict) -> list[str]:
@@ -67,6 +67,19 @@
     return command
 
 
+VOTERS = ("ip", "node", "zone", "standing", "view", "alone_ms", "lacks", "hears", "voters", "leaving_voters")
+
+
+def voters(*, at: str = "", json: bool = False) -> int:
+    """Tells who votes, who is learning and what it lacks, who is cut off and for how long (alone_ms).
+
+    :param at: registrars to ask, IP:PORT,IP:PORT
+    :param json: rows as JSON
+    """
+    return look(at, "/api/admin/registrars", list, lambda rows: print_rows(json)(
+        [{name: row.get(name) for name in VOTERS} for row in rows]))
+
+
 LISTS = {
     "members": table_command("counters", "Lists the counters and where their sessions stand."),
     "registrars": table_command("registrars", "Lists the registrars and what they hold."),
@@ -129,8 +142,7 @@
     :param at: registrars to ask, IP:PORT,IP:PORT
     :param json: rows as JSON
     """
-    fleet = ask(at, "GET", "/api/admin/fleet", dict)
-    return finish(fleet.and_then(lambda tables: run_query(tables, text)), print_rows(json))
+    return look(at, "/api/admin/fleet", dict, print_rows(json), lambda tables: run_query(tables, text))
 
 
 def get(*, at: str = "") -> int:
@@ -250,7 +262,7 @@
 
 
 COMMANDS = {
-    "status": status, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
+    "status": status, "voters": voters, **LISTS, "query": query, "evacuate": evacuate, "restore": restore, "log-level": log_level,
     "lane": {"set": set_lanes, "clear": clear_lanes}, "blueprint": {"get": get, "check": check, "put": put}, "undo": undo,
     "access": {"set": access.set_list, "show": access.show, "check": access.check, "counts": access.counts},
     "pooling": {"show": pooling.show, "set": pooling.set_mode},
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -46,7 +46,8 @@
             "learned": office.acceptor.learned, "blueprint": digest.blueprint, "evacuations": digest.evacuations,
             "hears": ",".join(peer for peer in office.others() if office.alive(peer, now)),
             "plans": ",".join(f"{name}:{plan}" for name, plan in sorted(shell.plans.items())),
-            **membership.rows(office, node, now), "disk": "refuses" if shell.disk_ill else "well",
+            **membership.rows(office, node, now), "view": "majority" if office.settled(now) else "own",
+            "alone_ms": round(1000 * shell.unsettled_s()), "lacks": ",".join(office.lacking(now)), "disk": "refuses" if shell.disk_ill else "well",
         }],
         "registers": [{
             "node": node, "key": key,
@@ -143,8 +144,10 @@
         for name, rows in part.items():
             tables[name] = tables[name] + rows
     unheard = [peer for peer in shell.office.others() if peer not in parts]
+    now, heard = shell.now(), {peer: at for peer, (at, _beat) in shell.office.peers.items()}
     tables["registrars"] += [{"node": "", "zone": "", "ip": peer, "votes": False, "learned": False, "blueprint": 0,
-                              "evacuations": 0, "hears": "unheard", "plans": ""} for peer in unheard]
+                              "evacuations": 0, "hears": "unheard", "plans": "", "view": "unheard",
+                              "alone_ms": round(1000 * (now - heard[peer])) if peer in heard else None} for peer in unheard]
     for name in ("generations", "listening", "poolers"):
         tables[name] = undo.one_per_node(tables[name], unheard)
     return {**tables, **shared_part(shell)}
--- a/sumacloom/registrar/ctl.py
+++ b/sumacloom/registrar/ctl.py
@@ -6,6 +6,9 @@
 from ..common.results import mishap
 
 PATHS = []
+BEATS = "/api/instances/"
+OWN_ORDERS = ("/api/admin/log-level",)     # what may be ordered of a registrar that is cut off
+VIEW = "Sumacloom-View"                    # tells that a table is our own view, and for how many ms we have been alone
 
 
 def serves(method: str, pattern: str):
@@ -23,14 +26,25 @@
 async def handle(shell, request: Request) -> Reply:
     """Finds the handler of a request; unknown paths and wrong methods get their statuses.
 
+    Without a majority no order is taken, and nothing is refused for what only a majority knows.
+
     >>> handle.__name__
     'handle'
     """
     path, _mark, _query = request.path.partition("?")
+    now, admin = shell.now(), path.startswith("/api/admin/")
+    own = path.startswith(BEATS) or path in OWN_ORDERS or (request.method == "GET" and path != "/api/config")
+    if not own and not shell.office.heard_majority(now):
+        return mishap_reply(mishap("out_of_touch"))
     matches = [(method, pattern.match(path), handler) for method, pattern, handler in PATHS if pattern.match(path)]
     for method, match, handler in matches:
         if method == request.method:
-            return await handler(shell, request, *match.groups())
+            reply = await handler(shell, request, *match.groups())
+            if not admin or shell.office.settled(shell.now()):
+                return reply
+            if reply.status in (404, 409, 410, 422):          # judged by what we hold, and that may be old
+                return mishap_reply(mishap("out_of_touch"))
+            return reply._replace(headers=(*reply.headers, (VIEW, f"own {round(1000 * shell.unsettled_s())}")))
     return mishap_reply(mishap("wrong_method" if matches else "no_route"))
 
 
@@ -47,7 +61,21 @@
     if result.ok():
         shell.office.tell_records(result.ok(), shell.now())
         await shell.act()
-    return Reply(200, b"{}")
+    return acknowledge(shell)
+
+
+def acknowledge(shell) -> Reply:
+    """What a backend said has been taken; it is acknowledged only where others learn of it.
+
+    Without a majority it is told to go on to another daemon: here it is heard all the same, so that
+    where no registrar has a majority, no backend is given up as silent.
+
+    >>> acknowledge.__name__
+    'acknowledge'
+    """
+    if shell.office.heard_majority(shell.now()):
+        return Reply(200, b"{}")
+    return mishap_reply(mishap("out_of_touch"))
 
 
 @serves("DELETE", r"/api/instances/([^/]+)")
@@ -61,7 +89,7 @@
     if record:
         shell.office.tell_records([record], shell.now())
         await shell.act()
-    return Reply(200, b"{}")
+    return acknowledge(shell)
 
 
 @serves("PUT", r"/api/config")
