A refused round waits 0.3 s for the silent before it begins anew

Cause: begun anew after 0.1 s, rounds of a change of voters outbid each other more often: test_a_replaced_machine_votes_and_the_gone_one_does_not[10.0.0.3-True] failed. Ruled out: the beat that answers a peer newly heard; without it the same. Change: RENEW_S, 0.3 s.

--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -10,6 +10,7 @@
 from .messages import Accept, Copy, Prepare, Promise, Query, Refused
 
 RESEND_S = 0.1
+RENEW_S = 0.3       # a round refused by some, and not answered by the others for so long, begins anew
 
 
 class Proposal:
@@ -39,7 +40,7 @@
         self.ballot = self.ballots.next()
         self.replies, self.accepted, self.refused = {}, set(), set()
         self.value, self.verdict = None, None
-        self.resume_at, self.sent_at = None, now
+        self.resume_at, self.sent_at, self.begun_at = None, now, now
 
     def count_by(self, configuration: Configuration, now: float) -> list[tuple]:
         """Other voters than we counted by: a fresh round among them.
@@ -181,7 +182,7 @@
             self.begin(now)
             return self.messages()
         if now - self.sent_at >= RESEND_S:
-            if self.refused:                     # the others may never answer: not to be waited for
+            if self.refused and now - self.begun_at >= RENEW_S:       # the silent ones may never answer
                 self.back_off(now)
                 return []
             self.sent_at = now
