--- a/sumacloom/agreement/hearing.py
+++ b/sumacloom/agreement/hearing.py
@@ -7,6 +7,8 @@
 
 scribe = Scribe("office")
 HEARERS = {}
+MOST_ROUND = 1 << 48   # no life of a cluster draws so many; a ballot above can't be overtaken, nor sent one day
+MOST_KEY = 512         # characters
 KNOWN_S = 30.0         # a registrar that nobody has named for so long is no longer dialled
 
 
@@ -22,6 +24,30 @@
     return register
 
 
+def ballots_of(message) -> list:
+    """All ballots that a message names.
+
+    >>> ballots_of(Decided("k", Ballot(4, "a", 1)))
+    [Ballot(round=4, proposer='a', nonce=1)]
+    """
+    named = [getattr(message, name) for name in ("ballot", "known", "accepted", "promised", "barrier", "floor") if hasattr(message, name)]
+    return named + [ballot for _key, *ballots, _value in getattr(message, "slots", []) for ballot in ballots]
+
+
+def is_credible(peer: str, message) -> bool:
+    """Whether a peer may say this: ballots in range, its own where it asks for a vote, a key of a bearable length.
+
+    >>> is_credible("a", Prepare("k", Ballot(4, "a", 1), NO_BALLOT)), is_credible("b", Prepare("k", Ballot(4, "a", 1), NO_BALLOT))
+    (True, False)
+    >>> is_credible("a", Decided("k", Ballot(1 << 60, "a", 1)))
+    False
+    """
+    asked = getattr(message, "barrier", None) if isinstance(message, Tell) else (
+        message.ballot if isinstance(message, (Prepare, Accept, Query)) else None)
+    return (asked in (None, NO_BALLOT) or asked[1] == peer) and len(getattr(message, "key", "")) <= MOST_KEY and all(
+        0 <= number <= MOST_ROUND and nonce >= 0 for number, _proposer, nonce in ballots_of(message))
+
+
 @hears(Prepare, Accept, Query)
 def hear_proposal(office, peer: str, message, now: float) -> None:
     """A proposal of a peer asks for our vote.
--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -9,7 +9,7 @@
 from ..common.types import NO_BALLOT, Ballot
 from . import membership, storage
 from .configuration import Configuration
-from .hearing import HEARERS, KNOWN_S
+from .hearing import HEARERS, KNOWN_S, is_credible
 from .messages import Decided, Prepare, Tell
 from .proposer import Ballots, Proposal
 from .storage import Storage
@@ -273,7 +273,9 @@
         """
         self.now = now
         handler = HEARERS.get(type(message))
-        if handler:
+        if handler and not is_credible(peer, message):
+            scribe.warn("%s sent what it may not: a %s with another's ballot, or out of range", peer, type(message).__name__)
+        elif handler:
             handler(self, peer, message, now)
 
     def settled(self, now: float) -> bool:
