Voters: the longest gone goes first, one mover, no vote added beside a silent one

Cause: the unheard were taken out in the order of their names, so a voter that hung for half a second went while one dead for eight seconds stayed. A newcomer was brought in beside a voter just dead, which left four of which three must answer. The one that moved itself out ended before any other knew that it had. Ruled out: the order of beat and voters in the clock (both orders showed it); counting a newcomer only after catchupS (the dead one's vote would be missed for as long: worse at every loss). Change: leavers first, then the longest silent; UNHEARD_S 0.6 with or without a newcomer (some 2 s after the last word, so that the change ends within catchupS); a change must better the margin; SETTLE_S 1.4 between movers; only failed rounds of a move again; the back-off doubles with each lost duel; a leaver ends once a majority tells that it knows.

--- a/sumacloom/agreement/membership.py
+++ b/sumacloom/agreement/membership.py
@@ -13,15 +13,15 @@
 KEY = "voters"
 FIRST = 1                # the generation of the first start's voters, which no round decided
 TOGETHER_S = 0.6         # newcomers within so long of each other come in together
-STAGGER_S = 0.4
-UNHEARD_S, SWAP_S = 2.5, 0.4     # a voter unheard for so long goes; sooner where a newcomer takes its place
+STAGGER_S, SETTLE_S = 0.4, 1.4   # how much later the next in line acts; a step from joint to settled takes longer
+UNHEARD_S = 0.6          # a voter that a majority can't hear for so long goes: some 2 s after its last word
 
 
 class Move:
     """How far the step from joint to settled has come here."""
 
     def __init__(self, generation: int):
-        self.generation, self.stage, self.proposals = generation, 0, []
+        self.generation, self.stage, self.proposals = generation, 0, {}      # key: its round
 
 
 def follow_on(configuration: Configuration):
@@ -61,13 +61,22 @@
 
 
 def may_go(office, now: float) -> bool:
-    """Whether a registrar that is being stopped need not wait to be taken out of the voters.
+    """Whether a registrar that is being stopped may end: it is no voter, and a majority of the voters knows that.
+
+    Nor need it wait where no majority is heard, or where none is there to take its place.
 
     >>> may_go.__name__
     'may_go'
     """
     configuration = office.acceptor.configuration
-    return office.me not in configuration.members or len(configuration.new) <= least(office) or not office.heard_majority(now)
+    if not office.heard_majority(now):
+        return True
+    if office.me not in configuration.members:
+        return configuration.has_quorum([voter for voter in configuration.members
+                                         if office.generations.get(voter, 0) >= configuration.generation])
+    learning = any(office.alive(peer, now) and beat.voting and not beat.learned and peer not in configuration.members
+                   for peer, (_heard, beat) in office.peers.items())
+    return not configuration.old and not learning and office.me in wanted(office, now)
 
 
 def watch_voices(office, now: float) -> None:
@@ -88,17 +97,36 @@
 
 
 def wanted(office, now: float) -> tuple:
-    """Who should vote: all who can, less the unheard beyond what must be borne.
+    """Who should vote: all who can, less those who leave and the unheard, the longest first, down to `least`.
 
     >>> wanted.__name__
     'wanted'
     """
     configuration = office.acceptor.configuration
-    fresh = newcomers(office, now)
-    target = {*configuration.new, *fresh}
-    bound = SWAP_S if fresh else UNHEARD_S
-    gone = sorted(voter for voter in configuration.new if now - office.unheard.get(voter, now) >= bound or leaves(office, voter))
-    return tuple(sorted(target - set(gone[:max(0, len(target) - least(office))])))
+    target = {*configuration.new, *newcomers(office, now)}
+    gone = sorted((not leaves(office, voter), min(office.unheard.get(voter, now), office.heard_at(voter, now)), voter)
+                  for voter in configuration.new if leaves(office, voter) or now - office.unheard.get(voter, now) >= UNHEARD_S)
+    spare = max(0, len(target) - least(office))
+    return tuple(sorted(target - {voter for *_order, voter in gone[:spare]}))
+
+
+def margin(office, voters, now: float) -> int:
+    """How many of these voters may be lost now and the rest still decides; those who leave count as lost.
+
+    >>> margin.__name__
+    'margin'
+    """
+    return sum(office.alive(voter, now) and not leaves(office, voter) for voter in voters) - len(voters) // 2 - 1
+
+
+def betters(office, target: tuple, now: float) -> bool:
+    """Whether a change of voters is for the better: one that adds a vote beside a silent one is not.
+
+    >>> betters.__name__
+    'betters'
+    """
+    after = margin(office, target, now)
+    return after >= office.settings.tolerate.nodes or after > margin(office, office.acceptor.configuration.new, now)
 
 
 def least(office) -> int:
@@ -120,7 +148,7 @@
         voter in office.peers and not office.peers[voter][1].voting)
 
 
-def our_turn(office, need, wait_s: float, now: float) -> bool:
+def our_turn(office, need, wait_s: float, now: float, stagger_s: float = STAGGER_S) -> bool:
     """Whether a need has lasted long enough for us to act: the voters stand in line.
 
     >>> our_turn.__name__
@@ -129,7 +157,7 @@
     if office.need[0] != need:
         office.need = (need, now)
     line = [peer for peer in office.acceptor.configuration.members if office.alive(peer, now)]
-    return now - office.need[1] >= wait_s + STAGGER_S * line.index(office.me)
+    return now - office.need[1] >= wait_s + stagger_s * line.index(office.me)
 
 
 def mind_voters(office, now: float) -> None:
@@ -146,13 +174,14 @@
     if not configuration.has_quorum(living) or any(proposal.key == KEY for proposal in office.proposals):
         return
     if configuration.old:
-        if our_turn(office, configuration.generation, 0.0, now):
+        if our_turn(office, configuration.generation, 0.0, now, SETTLE_S):
             settle_move(office, now)
         return
-    target = wanted(office, now)
+    target, fresh = wanted(office, now), newcomers(office, now)
     if target == tuple(sorted(configuration.new)):
         office.need = (None, now)
-    elif our_turn(office, target, TOGETHER_S, now) and Configuration(0, (), target).has_quorum(
+    elif our_turn(office, (configuration.generation, tuple(sorted(fresh))), TOGETHER_S if fresh else 0.0, now) and betters(
+            office, target, now) and Configuration(0, (), target).has_quorum(
             [voter for voter in target if office.alive(voter, now)]):
         scribe.say("the voters are to be %s", ", ".join(target))
         office.propose(KEY, follow_on(Configuration(configuration.generation + 1, configuration.new, target)), now)
@@ -165,16 +194,17 @@
     'settle_move'
     """
     configuration, move = office.acceptor.configuration, office.move
-    if move is None or move.generation != configuration.generation or any(
-            proposal.outcome is not None and proposal.outcome.is_err() for proposal in move.proposals):
+    if move is None or move.generation != configuration.generation:
         move = office.move = Move(configuration.generation)
-    if any(proposal.outcome is None for proposal in move.proposals):
+    failed = [key for key, proposal in move.proposals.items() if proposal.outcome is not None and proposal.outcome.is_err()]
+    move.proposals.update((key, office.propose(key, again, now)) for key in failed)     # the other rounds stand
+    if any(proposal.outcome is None for proposal in move.proposals.values()):
         return
     stages = ([KEY], [key for key in KEYS if key != KEY], [key for key in office.keys() if key not in KEYS])     # the listeners name the feeds
     if move.stage < len(stages):
         keys = stages[move.stage]
         move.stage += 1
-        move.proposals = [office.propose(key, again, now) for key in keys]
+        move.proposals = {key: office.propose(key, again, now) for key in keys}
     else:
         office.propose(KEY, follow_on(Configuration(configuration.generation + 1, (), configuration.new)), now)
 
--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -40,6 +40,7 @@
         self.unheard: dict[str, float] = {}        # voters that a majority can't hear, since when
         self.need, self.move = (None, now), None   # what the voters' change waits for, and its last step
         self.peers: dict[str, tuple] = {}          # peer ip: (heard at, PeerBeat)
+        self.generations: dict[str, int] = {}      # peer: the generation of voters that it last told
         self.finished_at = -1e9
         self.acceptor = self.open_acceptor()
 
@@ -326,7 +327,15 @@
         >>> Node.alive.__name__
         'alive'
         """
-        return peer == self.me or now - self.peers.get(peer, (-1e9,))[0] < ALIVE_S
+        return now - self.heard_at(peer, now) < ALIVE_S
+
+    def heard_at(self, peer: str, now: float) -> float:
+        """When a registrar was last heard; long ago if never.
+
+        >>> Node.heard_at.__name__
+        'heard_at'
+        """
+        return now if peer == self.me else self.peers.get(peer, (-1e9,))[0]
 
     # ------------------------------------------------------------ clock
     def tick_agreement(self, now: float) -> None:
--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -10,6 +10,7 @@
 from .messages import Accept, Copy, Prepare, Promise, Query, Refused
 
 RESEND_S = 0.1
+BACK_OFF_S, MOST_BACK_OFF_S = 0.12, 0.48     # after the first lost duel, doubled with each
 
 
 class Proposal:
@@ -27,7 +28,7 @@
         self.cutoff = now + cutoff_s
         self.outcome, self.decided = None, None
         self.round = "query" if reading else "prepare"
-        self.resume_at = None
+        self.resume_at, self.lost = None, 0
         self.begin(now)
 
     def begin(self, now: float) -> None:
@@ -156,12 +157,13 @@
         return self.messages()
 
     def back_off(self, now: float) -> None:
-        """Lost a duel: waits a random while, then begins again.
+        """Lost a duel: waits a random while, longer with each, then begins again.
 
         >>> Proposal.back_off.__name__
         'back_off'
         """
-        self.resume_at = now + self.ballots.random.uniform(0.01, 0.12)
+        self.resume_at = now + self.ballots.random.uniform(0.01, min(MOST_BACK_OFF_S, BACK_OFF_S * 2 ** self.lost))
+        self.lost += 1
         self.round = "prepare"
 
     def alarm(self, now: float) -> list[tuple]:
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -26,6 +26,7 @@
     elif message.digest != office.board.known_digest and office.board.records:
         office.outbox.append((peer, office.peer_beat(now, list(office.board.records.values()))))
     if message.configuration:
+        office.generations[peer] = message.configuration.generation
         hear_configuration(office, peer, Reconfigured(message.configuration), now)
     for key, ballot in (message.decided or {}).items():
         if Ballot(*ballot) > office.decided.get(key, (NO_BALLOT,))[0]:
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -34,7 +34,7 @@
         self.now, self.loss, self.nodes, self.stuck = 0.0, loss, nodes, set()
         self.seeds = [f"10.0.0.{number}" for number in range(1, seeds + 1)]
         self.offices, self.disks, self.post = {}, {}, []
-        self.cut, self.decided, self.acked = set(), {}, []
+        self.cut, self.deaf, self.decided, self.acked = set(), set(), {}, []     # deaf: (from, to), one way only
         for number in range(1, seeds + others + 1):
             self.start(f"10.0.0.{number}", bootstrap=True)
 
@@ -84,7 +84,7 @@
         for _at, ip, peer, message in sorted(due, key=lambda entry: entry[0]):
             if peer not in self.offices:
                 self.mail(ip, peer, message)
-            elif frozenset((ip, peer)) not in self.cut:
+            elif frozenset((ip, peer)) not in self.cut and (ip, peer) not in self.deaf:
                 self.offices[peer].hear(ip, Unframer().feed(frame(message))[0], self.now)
 
     def mail(self, ip, node, message):
