Spool: a counter waits for two disks wherever another registrar is heard

Cause: an intent counted as held after 0.2 s with one disk when the spare was silent, though a third registrar was there; a copy whose holder was lost was never made anew; a registrar that was stopped ended without handing over what it alone held, and within a third of graceS whatever its vote was needed for. Ruled out: refusing where no other registrar is heard: docs/listeners.md promises that a side that is cut off goes on committing, so one disk must do there, and the copy is made once another is heard. Change: the next registrar is asked after 0.2 s of silence; a spare remembers whose copy it has, and whoever holds an entry copies it again when the other holder is unheard or leaves; SIGTERM waits for that and to be taken out of the voters, two thirds of graceS at most, and says in the log what was left.

--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -18,7 +18,7 @@
 from .caretaker import mind_backends
 from .errands import Doubted, note_tick
 from .pooling import hear_minds
-from .spool import take_intent, take_verdict
+from .spool import may_leave, take_intent, take_verdict, unhanded
 from .syncing import sync_disk
 from .office import Office
 
@@ -28,6 +28,7 @@
 PEER_DIAL_S = 0.35
 FLIPPED_S = 0.4
 COUNT_S = 0.1
+LEAVE_SHARE = 2 / 3        # of graceS: how long a stopped registrar stays at most for what depends on it
 
 
 class Shell:
@@ -330,7 +331,7 @@
         fresh = result.ok()
         self.settings.seeds, self.settings.bounds, self.settings.zones = fresh.seeds, fresh.bounds, fresh.zones
         self.settings.voting, self.settings.tolerate = fresh.voting, fresh.tolerate
-        self.office.seeds = [split_address(seed)[0] for seed in fresh.seeds]
+        self.office.seeds = list(dict.fromkeys(split_address(seed)[0] for seed in fresh.seeds))
         scribe.say("the settings were read again")
 
     async def main(self) -> int:
@@ -345,12 +346,26 @@
         await curio.spawn(kept, scribe, accept_all, listen(settings.ip, self.port), self.take_link, daemon=True)
         scribe.say("serving at %s", settings.listen.ctl)
         await kept(scribe, self.clock)
+        await self.leave()
+        return 0
+
+    async def leave(self) -> None:
+        """Says that it leaves; waits to be taken out of the voters and until what it alone holds is handed over.
+
+        >>> Shell.leave.__name__
+        'leave'
+        """
         scribe.say("leaving")
-        cutoff = self.now() + settings.bounds.grace_s / 3
-        settings.voting = False
-        self.office.beaten_at = self.office.told_whole_at = -1e9
-        while (self.waiting or not membership.may_go(self.office, self.now())) and self.now() < cutoff:
+        office, cutoff = self.office, self.now() + self.settings.bounds.grace_s * LEAVE_SHARE
+        self.settings.voting = False
+        office.beaten_at = office.told_whole_at = -1e9
+        while (self.waiting or not may_leave(office, self.now())) and self.now() < cutoff:
             await curio.sleep(TICK_S)
-            self.office.tick(self.now())
+            office.tick(self.now())
             await self.act()
-        return 0
+        left = unhanded(office)
+        if left:
+            scribe.warn("left with %d entries of the spool that no other disk is known to hold, the first %s", len(left), left[0])
+        if office.me in office.acceptor.configuration.members and not membership.may_go(office, self.now()):
+            scribe.warn("left while still among the voters: the change took longer than %.1f s",
+                        self.settings.bounds.grace_s * LEAVE_SHARE)
--- a/sumacloom/registrar/spool.py
+++ b/sumacloom/registrar/spool.py
@@ -6,6 +6,7 @@
 """
 import zlib
 
+from ..agreement import membership
 from ..agreement.hearing import hears
 from ..common.logs import Scribe
 from ..courier.messages import Held, Intent, Noted, Spare, SpareHeld, Verdict
@@ -13,8 +14,8 @@
 from .feed import append
 
 scribe = Scribe("spool")
-SPARE_S = 0.2            # how long the spare's copy is waited for
-SPARE_AGAIN_S = 0.4      # and how soon it is asked for again
+SPARE_S = 0.2            # how long one spare is waited for while a counter waits, then the next is asked
+SPARE_AGAIN_S = 0.4      # and how long while none does
 SPARE_TURN_S = 2.0       # how much later a spare appends
 GONE_S = 5.0             # a counter unheard by everyone for so long sends no verdict any more
 APPEND_EVERY_S = 0.1
@@ -24,13 +25,13 @@
 class Entry:
     """One intent: who has it, what became of it, and who waits for word."""
 
-    __slots__ = ("node", "text", "kind", "spare", "since", "unheard", "client", "lacks", "place", "copied", "sent_at")
+    __slots__ = ("node", "text", "kind", "spare", "since", "unheard", "client", "lacks", "place", "copied", "asked", "sent_at")
 
     def __init__(self, node: str, text: str, kind: str, spare: bool, now: float):
         self.node, self.text, self.kind, self.spare, self.since = node, text, kind, spare, now
         self.unheard = None          # since when the counter is unheard by everyone
         self.client, self.lacks, self.place = "", set(), ""
-        self.copied, self.sent_at = False, now       # whether another disk holds it, and when it was last asked to
+        self.copied, self.asked, self.sent_at = False, False, now     # whether another disk holds it, was asked to, and when
 
 
 class Spool:
@@ -117,21 +118,51 @@
 
 
 def send_spare(office, key: tuple, entry: Entry, now: float) -> bool:
-    """Asks another registrar to hold a copy; False if none is heard.
+    """Asks another registrar to hold a copy, the next one if the last was silent; False if none is heard.
 
     >>> send_spare.__name__
     'send_spare'
     """
-    peers = [peer for peer in office.others() if office.alive(peer, now) and office.me in office.peers[peer][1].hears]
+    peers = spares(office, now)
     if not peers:
         return False
     if entry.place not in peers:
         entry.place = peers[zlib.crc32(office.me.encode()) % len(peers)]
-    entry.copied, entry.sent_at = False, now
+    elif entry.asked:
+        entry.place = peers[(peers.index(entry.place) + 1) % len(peers)]
+    entry.asked, entry.copied, entry.sent_at = True, False, now
     office.outbox.append((entry.place, Spare(*key[::2], key[1], entry.text, entry.node, entry.kind)))
     return True
 
 
+def spares(office, now: float) -> list[str]:
+    """The registrars that may hold a copy: heard, hearing us, and not on their way out if others are there.
+
+    >>> spares.__name__
+    'spares'
+    """
+    peers = [peer for peer in office.others() if office.alive(peer, now) and office.me in office.peers[peer][1].hears]
+    return [peer for peer in peers if office.peers[peer][1].voting] or peers
+
+
+def unhanded(office) -> list[tuple]:
+    """The entries that no other disk is known to hold.
+
+    >>> unhanded.__name__
+    'unhanded'
+    """
+    return [key for key, entry in office.spool.entries.items() if not entry.copied]
+
+
+def may_leave(office, now: float) -> bool:
+    """Whether a registrar that is being stopped may end, as far as voters and spool go.
+
+    >>> may_leave.__name__
+    'may_leave'
+    """
+    return membership.may_go(office, now) and (not spares(office, now) or not unhanded(office))
+
+
 def take_verdict(office, client: str, message: Verdict, now: float) -> None:
     """What became of an intent, here or at a registrar that is gone.
 
@@ -167,15 +198,16 @@
 
 
 @hears(SpareHeld)
-def spare_holds(office, _peer: str, message, now: float) -> None:
+def spare_holds(office, peer: str, message, now: float) -> None:
     """The other registrar's disk holds an intent.
 
     >>> spare_holds.__name__
     'spare_holds'
     """
     key = place_of(message)
-    if key in office.spool.entries:
-        office.spool.entries[key].copied = True
+    entry = office.spool.entries.get(key)
+    if entry:
+        entry.copied, entry.asked, entry.place = True, False, peer
     step_on(office, key, "spare")
 
 
@@ -205,6 +237,8 @@
         entry = spool.entries.setdefault(key, Entry(message.node, message.text, "", True, now))
         fresh = held is None or (message.kind and message.kind != held.kind)
         entry.kind, entry.since = message.kind or entry.kind, now
+        if held is None:
+            entry.place, entry.copied = peer, True
         if fresh:                            # asked again, it is on its way to the disk already
             spool.write(key, entry)
     office.release(peer, SpareHeld(message.life, message.number, message.database))
@@ -226,7 +260,10 @@
 
 
 def mind_spool(office, now: float) -> None:
-    """Gives word to counters whose spare is silent; appends what is ripe.
+    """Has every entry held at a second disk; appends what is ripe.
+
+    A counter waits for the second disk wherever another registrar is heard. Where none is, one must do: a side
+    that is cut off goes on committing.
 
     >>> mind_spool.__name__
     'mind_spool'
@@ -234,11 +271,14 @@
     spool = office.spool
     if not spool.entries:
         return
+    peers = spares(office, now)
     for key, entry in spool.entries.items():
-        if entry.lacks == {"spare"} and now - entry.since >= SPARE_S:
-            step_on(office, key, "spare")
-        if not entry.spare and not entry.copied and now - entry.sent_at >= SPARE_AGAIN_S:
+        if entry.copied and peers and entry.place not in peers:
+            entry.copied = False                        # who held the other copy is gone
+        if not entry.copied and now - entry.sent_at >= (SPARE_S if entry.lacks else SPARE_AGAIN_S):
             send_spare(office, key, entry, now)
+        if not peers:
+            step_on(office, key, "spare")
     if not office.settled(now):
         return
     lives, batches = office.members.lives(now), {}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -112,6 +112,12 @@
     assert membership.wanted(placed(voters, silent, leaving, fresh, nodes), 100.0) == tuple(sorted(expected))
 
 
+def test_one_that_has_only_just_started_goes_by_when_it_heard_them():
+    one = placed((A, B, C), {A: 2.0, C: 8.0}, (), (NEW,), 1)
+    one.unheard = {A: 99.0, C: 99.0}                          # it began to watch both at once
+    assert membership.wanted(one, 100.0) == (A, B, NEW)
+
+
 BETTERS = [
     # (voters, silent, leaving, newcomers, tolerated, target, whether it is for the better)
     ((A, B, C), {C: 1.5}, (), (NEW,), 1, (A, B, C, NEW), False),         # beside a silent one a vote more is a vote that's missed
@@ -177,6 +183,26 @@
     assert land.decides()
 
 
+@pytest.mark.parametrize("learning_s", [0.3, 1.0])
+def test_one_that_leaves_waits_for_a_newcomer_that_is_still_learning(learning_s):
+    land = Fleet(3)
+    land.run(3.0)
+    land.deaf = {(ip, NEW) for ip in (A, B, C)}               # it is heard, and can't learn yet
+    land.join(NEW)
+    land.run(0.6)
+    step, until = land.step, land.now + learning_s
+
+    def hear_again():
+        step()
+        if land.now >= until:
+            land.deaf = set()
+    land.step = hear_again
+    assert land.leave(A) >= learning_s
+    land.run(1.0)
+    assert land.configurations()[B] == land.configurations()[C] and land.configurations()[B].new == (B, C, NEW)
+    assert not land.configurations()[B].old
+
+
 @pytest.mark.parametrize("seed", [12, 25, 27])
 def test_a_joint_configuration_is_settled_soon_though_its_mover_is_dead(seed):
     """Found: three movers at once outbid one another, and after 9 s the old set still had its say."""
