First voters that differ between registrars never share a vote; no voters are no majority

Cause: rounds named the voters by the generation alone, and the first generation comes from settings: with seeds that differ, who stood in both sets voted in both. An empty set of voters had a majority of none, so a registrar started with no seeds held itself settled. With tolerate.nodes unlike, the one that said least took voters out that the others needed. Change: rounds of the first generation carry a checksum of the set (older registrars' rounds are still answered, so that a fleet can be brought over one by one; while it is, the rounds of new ones are not answered by old ones); 1310 in one line for each peer; bootstrap without seeds is deploy_invalid (1003); a seed named twice has one vote; the most that a living or dead voter says is tolerated counts, with a line.

--- a/sumacloom/agreement/acceptor.py
+++ b/sumacloom/agreement/acceptor.py
@@ -51,7 +51,7 @@
         """
         if not self.learned:
             return None, []
-        if message.configuration != self.configuration.generation:
+        if message.configuration not in (self.configuration.mark, self.configuration.generation):
             return Reconfigured(self.configuration), []
         slot = self.slot(message.key)
         if isinstance(message, Query):
--- a/sumacloom/agreement/configuration.py
+++ b/sumacloom/agreement/configuration.py
@@ -1,6 +1,10 @@
 """Who votes, as daemons tell one another."""
+import zlib
+
 import msgspec
 
+FIRST = 1                # the generation of the first start's voters, which no round decided
+
 
 class Configuration(msgspec.Struct, array_like=True, frozen=True):
     """Who votes. While `old` is not empty, every round needs a majority of the old and of the new set.
@@ -15,6 +19,17 @@
     old: tuple[str, ...]
     new: tuple[str, ...]
 
+    @property
+    def mark(self) -> int:
+        """What rounds name the voters by: the generation; of the first, which only settings name, the set itself.
+
+        >>> Configuration(2, (), ("a", "b")).mark, Configuration(1, (), ("a", "b")).mark == Configuration(1, (), ("b", "a")).mark
+        (2, True)
+        >>> Configuration(1, (), ("a", "b")).mark == Configuration(1, (), ("a", "c")).mark
+        False
+        """
+        return self.generation if self.generation != FIRST else -1 - zlib.crc32(",".join(sorted(self.new)).encode())
+
     @property
     def members(self) -> list[str]:
         """Everyone who has a vote.
@@ -36,10 +51,10 @@
     def has_quorum(self, voices) -> bool:
         """Whether these voices are a majority of each set.
 
-        >>> Configuration(1, (), ("a", "b", "c")).has_quorum(["a"])
-        False
+        >>> Configuration(1, (), ("a", "b", "c")).has_quorum(["a"]), Configuration(1, (), ()).has_quorum(["a"])
+        (False, False)
         """
-        return all(sum(voter in voices for voter in voters) > len(voters) // 2 for voters in self.sets)
+        return bool(self.sets) and all(sum(voter in voices for voter in voters) > len(voters) // 2 for voters in self.sets)
 
     def meets_every_quorum(self, voices) -> bool:
         """Whether these voices meet every majority that could have decided.
@@ -47,4 +62,4 @@
         >>> Configuration(1, (), ("a", "b", "c", "d")).meets_every_quorum({"a", "b"}), Configuration(1, (), ("a", "b", "c")).meets_every_quorum({"a"})
         (True, False)
         """
-        return all(sum(voter in voices for voter in voters) >= len(voters) - len(voters) // 2 for voters in self.sets)
+        return bool(self.sets) and all(sum(voter in voices for voter in voters) >= len(voters) - len(voters) // 2 for voters in self.sets)
--- a/sumacloom/agreement/hearing.py
+++ b/sumacloom/agreement/hearing.py
@@ -1,6 +1,7 @@
 """What a registrar does with its peers' messages on registers and voters."""
 
 from ..common.logs import Scribe
+from ..common.results import mishap
 from ..common.types import NO_BALLOT, Ballot
 from .messages import (Accept, Accepted, Copy, Decided, Fetch, Reconfigured, Prepare, Promise, Query, Refused, Settled,
                        Tell, Told)
@@ -88,6 +89,12 @@
     >>> HEARERS[Reconfigured] is hear_configuration
     True
     """
+    ours = office.acceptor.configuration
+    if message.configuration.generation == ours.generation and message.configuration.mark != ours.mark and peer not in office.disputed:
+        office.disputed.add(peer)
+        found = mishap("voters_disputed")
+        scribe.warn("%d %s: %s here, %s at %s; neither counts the other's votes", found.code, found.sentence,
+                    ", ".join(ours.new), ", ".join(message.configuration.new), peer)
     if message.configuration.generation < office.acceptor.configuration.generation:
         if office.acceptor.learned:
             office.release(peer, Reconfigured(office.acceptor.configuration))
--- a/sumacloom/agreement/membership.py
+++ b/sumacloom/agreement/membership.py
@@ -6,12 +6,11 @@
 """
 from ..common.logs import Scribe
 from ..common.results import Err, Ok, mishap
-from .configuration import Configuration
+from .configuration import FIRST, Configuration
 from .values import KEYS, decode, encode
 
 scribe = Scribe("voters")
 KEY = "voters"
-FIRST = 1                # the generation of the first start's voters, which no round decided
 TOGETHER_S = 0.6         # newcomers within so long of each other come in together
 STAGGER_S, SETTLE_S = 0.4, 1.4   # how much later the next in line acts; a step from joint to settled takes longer
 UNHEARD_S = 0.6          # a voter that a majority can't hear for so long goes: some 2 s after its last word
@@ -126,7 +125,7 @@
     'betters'
     """
     after = margin(office, target, now)
-    return after >= office.settings.tolerate.nodes or after > margin(office, office.acceptor.configuration.new, now)
+    return after >= tolerated(office) or after > margin(office, office.acceptor.configuration.new, now)
 
 
 def least(office) -> int:
@@ -135,7 +134,17 @@
     >>> least.__name__
     'least'
     """
-    return max(3, 2 * office.settings.tolerate.nodes + 1)
+    return max(3, 2 * tolerated(office) + 1)
+
+
+def tolerated(office) -> int:
+    """How many machines may be lost at once: where settings differ, the most that a voter says.
+
+    >>> tolerated.__name__
+    'tolerated'
+    """
+    told = [beat.tolerates for peer, (_heard, beat) in office.peers.items() if peer in office.acceptor.configuration.members]
+    return max([office.settings.tolerate.nodes, *told])
 
 
 def leaves(office, voter: str) -> bool:
--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -30,7 +30,7 @@
         self.me = settings.ip
         self.nonce = random.getrandbits(48)
         self.random = random
-        self.seeds = [split_address(seed)[0] for seed in settings.seeds]
+        self.seeds = list(dict.fromkeys(split_address(seed)[0] for seed in settings.seeds))
         self.ballots = Ballots(self.me, self.nonce, random)
         self.decided: dict[str, tuple] = {}
         self.proposals: list[Proposal] = []
@@ -41,6 +41,7 @@
         self.need, self.move = (None, now), None   # what the voters' change waits for, and its last step
         self.peers: dict[str, tuple] = {}          # peer ip: (heard at, PeerBeat)
         self.generations: dict[str, int] = {}      # peer: the generation of voters that it last told
+        self.disputed: set[str] = set()            # peers whose first voters are others than ours
         self.finished_at = -1e9
         self.acceptor = self.open_acceptor()
 
--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -65,11 +65,11 @@
             return []
         if self.round == "accept":
             return [
-                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.generation))
+                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.mark))
                 for voter, promise in self.replies.items() if voter not in self.accepted
             ]
         kind = Query if self.round == "query" else Prepare
-        message = kind(self.key, self.ballot, self.known_ballot, self.configuration.generation)
+        message = kind(self.key, self.ballot, self.known_ballot, self.configuration.mark)
         return [(voter, message) for voter in self.configuration.members if voter not in self.replies]
 
     def hear(self, voter: str, message, now: float) -> list[tuple]:
@@ -96,7 +96,7 @@
                 return []
             self.replies[voter] = message
             if self.round == "accept":
-                return [(voter, Accept(self.key, self.ballot, self.value, message.incarnation, self.configuration.generation))]
+                return [(voter, Accept(self.key, self.ballot, self.value, message.incarnation, self.configuration.mark))]
             return self.promised()
         self.accepted.add(voter)
         if self.round == "accept" and self.configuration.has_quorum(self.accepted):
--- a/sumacloom/common/results.py
+++ b/sumacloom/common/results.py
@@ -67,6 +67,7 @@
     "unknown_region": (1434, 422, 4, "there is no such region"),
     "no_access": (1435, 404, 4, "no access list is in force"),
     "unknown_mode": (1436, 422, 4, "there is no such pool mode"),
+    "voters_disputed": (1310, 0, 6, "the first start's voters differ between registrars"),
     "pooling_waiting": (1309, 0, 6, "a node does not hold the pool modes yet"),
     "access_waiting": (1308, 0, 6, "a node does not hold the access list yet"),
     "invalid_beat": (1423, 422, 4, "the beat lacks a field or has a wrong one"),
--- a/sumacloom/common/settings.py
+++ b/sumacloom/common/settings.py
@@ -149,6 +149,8 @@
         return Err(mishap("settings_invalid", "portRange must hold two rising ports"))
     if role == "registrar" and not settings.datadir:
         return Err(mishap("deploy_invalid", "a registrar needs a datadir"))
+    if role == "registrar" and settings.bootstrap and not settings.seeds:
+        return Err(mishap("deploy_invalid", "a registrar's first start (bootstrap) needs seeds: they are the first voters"))
     if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         return Err(mishap("settings_invalid", "logLevel must be DEBUG, INFO, WARNING or ERROR"))
     if not 0 < settings.health.soft_lag_ms <= settings.health.hard_lag_ms:
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -82,6 +82,7 @@
     positions: list[Sighting] = []
     configuration: Configuration | None = None               # who votes, as this registrar knows; None: as last told
     voting: bool = False                     # whether its settings say that it counts as a voter
+    tolerates: int = 0                       # how many machines its settings say may be lost at once
 
 
 class Inquire(Message):
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -17,6 +17,9 @@
     """
     if not office.alive(peer, now):
         scribe.say("the registrar %s is heard", peer)
+    if message.tolerates not in (0, office.settings.tolerate.nodes, office.peers[peer][1].tolerates if peer in office.peers else 0):
+        scribe.warn("tolerate.nodes is %d at %s and %d here: the most that a voter says is kept to", message.tolerates, peer,
+                    office.settings.tolerate.nodes)
     office.peers[peer] = (now, message)
     office.known.update({peer: now, **{other: max(now - KNOWN_S / 2, office.known.get(other, 0.0)) for other in message.hears}})
     office.roster.hear_peer(peer, message, now)
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -85,7 +85,7 @@
             self.roster.heard_ages(self.shared_at, now) if whole is not None else {}, self.roster.dark_ages(now),
             [peer for peer in self.others() if self.alive(peer, now)],
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
-            self.acceptor.configuration if whole and self.acceptor.learned else None, self.settings.voting,
+            self.acceptor.configuration if whole and self.acceptor.learned else None, self.settings.voting, self.settings.tolerate.nodes,
         )
 
     def tell_records(self, records: list, now: float) -> None:
