Tests of a waiting counter left alone, and of a seed named twice

Taking each of the two mechanisms out failed no test: now test_a_counter_that_waits_is_answered_once_nobody_else_is_heard_any_more and test_a_seed_named_twice_has_one_vote fail without them.

--- a/tests/test_first_voters.py
+++ b/tests/test_first_voters.py
@@ -84,6 +84,12 @@
     assert said.count("tolerate.nodes is 2 at 10.0.0.2 and 1 here") == 1
 
 
+def test_a_seed_named_twice_has_one_vote():
+    land = started({A: (A, A, B)})
+    assert put_at(land, A, 4).err().name == "no_majority"
+    assert land.offices[A].acceptor.configuration.new == (A, B)
+
+
 def test_no_voters_are_no_majority():
     assert not Configuration(0, (), ()).has_quorum([A]) and not Configuration(0, (), ()).meets_every_quorum([A])
     land = started({A: ()})
--- a/tests/test_spool.py
+++ b/tests/test_spool.py
@@ -72,6 +72,18 @@
     assert len(land.holders(number)) >= 2 and len(land.holders(number + 1)) >= 2
 
 
+def test_a_counter_that_waits_is_answered_once_nobody_else_is_heard_any_more():
+    land = Post(8)
+    land.run(3.0)
+    land.cut = {frozenset((A, ip)) for ip in (B, C)}
+    while min(land.now - land.offices[A].heard_at(ip, land.now) for ip in (B, C)) < 0.8:
+        land.step()
+    number = land.intend(A)
+    assert land.spare_of(A)                                   # one was still asked
+    land.run(0.6)
+    assert [(held, holders) for held, _at, holders in land.held] == [(number, [A])]
+
+
 @pytest.mark.parametrize("lost", ["spare", "home"])
 def test_a_lost_copy_is_made_good_so_that_a_second_loss_is_borne(lost):
     land = Post(6)
