--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -31,7 +31,7 @@
         self.me = settings.ip
         self.nonce = random.getrandbits(48)
         self.random = random
-        self.seeds = [split_address(seed)[0] for seed in settings.seeds]
+        self.seeds = list(dict.fromkeys(split_address(seed)[0] for seed in settings.seeds))
         self.ballots = Ballots(self.me, self.nonce, random)
         self.decided: dict[str, tuple] = {}
         self.proposals: list[Proposal] = []
@@ -41,6 +41,8 @@
         self.unheard: dict[str, float] = {}        # voters that a majority can't hear, since when
         self.need, self.move = (None, now), None   # what the voters' change waits for, and its last step
         self.peers: dict[str, tuple] = {}          # peer ip: (heard at, PeerBeat)
+        self.generations: dict[str, int] = {}      # peer: the generation of voters that it last told
+        self.disputed: set[str] = set()            # peers whose first voters are others than ours
         self.finished_at = -1e9
         self.contact = Contact(self.nonce & 0x3fffffff)
         self.acceptor = self.open_acceptor()
@@ -349,7 +351,15 @@
         >>> Node.alive.__name__
         'alive'
         """
-        return peer == self.me or now - self.peers.get(peer, (-1e9,))[0] < ALIVE_S
+        return now - self.heard_at(peer, now) < ALIVE_S
+
+    def heard_at(self, peer: str, now: float) -> float:
+        """When a registrar was last heard; long ago if never.
+
+        >>> Node.heard_at.__name__
+        'heard_at'
+        """
+        return now if peer == self.me else self.peers.get(peer, (-1e9,))[0]
 
     # ------------------------------------------------------------ clock
     def tick_agreement(self, now: float) -> None:
--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -11,6 +11,7 @@
 
 RESEND_S = 0.1
 RENEW_S = 0.3      # a round that lasts so long begins anew, where a voter refused it or was asked too late for it
+BACK_OFF_S, MOST_BACK_OFF_S = 0.12, 0.48     # after the first lost duel, doubled with each
 
 
 class Proposal:
@@ -28,7 +29,7 @@
         self.cutoff = now + cutoff_s
         self.outcome, self.decided = None, None
         self.round = "query" if reading else "prepare"
-        self.resume_at = None
+        self.resume_at, self.lost = None, 0
         self.begin(now)
 
     def begin(self, now: float) -> None:
@@ -65,11 +66,11 @@
             return []
         if self.round == "accept":
             return [
-                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.generation))
+                (voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.mark))
                 for voter, promise in self.replies.items() if voter not in self.accepted
             ]
         kind = Query if self.round == "query" else Prepare
-        message = kind(self.key, self.ballot, self.known_ballot, self.configuration.generation)
+        message = kind(self.key, self.ballot, self.known_ballot, self.configuration.mark)
         return [(voter, message) for voter in self.configuration.members if voter not in self.replies]
 
     def hear(self, voter: str, message, now: float) -> list[tuple]:
@@ -162,12 +163,13 @@
         return self.messages()
 
     def back_off(self, now: float) -> None:
-        """Lost a duel: waits a random while, then begins again.
+        """Lost a duel: waits a random while, longer with each, then begins again.
 
         >>> Proposal.back_off.__name__
         'back_off'
         """
-        self.resume_at = now + self.ballots.random.uniform(0.01, 0.12)
+        self.resume_at = now + self.ballots.random.uniform(0.01, min(MOST_BACK_OFF_S, BACK_OFF_S * 2 ** self.lost))
+        self.lost += 1
         self.round = "prepare"
 
     def alarm(self, now: float) -> list[tuple]:
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -86,6 +86,7 @@
     voting: bool = False                     # whether its settings say that it counts as a voter
     number: int = 0                          # of this beat; the peers name it in `hears`
     undecided: dict[str, Ballot] = {}        # told with `decided`: what is accepted here and not known to be decided
+    tolerates: int = 0                       # how many machines its settings say may be lost at once
 
 
 class Inquire(Message):
--- a/sumacloom/registrar/hearing.py
+++ b/sumacloom/registrar/hearing.py
@@ -19,6 +19,9 @@
     if not office.alive(peer, now):
         scribe.say("the registrar %s is heard", peer)
         office.beaten_at = -1e9                     # it is answered at once: contact is known the sooner
+    if message.tolerates not in (0, office.settings.tolerate.nodes, office.peers[peer][1].tolerates if peer in office.peers else 0):
+        scribe.warn("tolerate.nodes is %d at %s and %d here: the most that a voter says is kept to", message.tolerates, peer,
+                    office.settings.tolerate.nodes)
     office.peers[peer] = (now, message)
     office.contact.hear(peer, message.hears.get(office.me))
     if message.decided is not None:
@@ -31,6 +34,7 @@
     elif message.digest != office.board.known_digest and office.board.records:
         office.outbox.append((peer, office.peer_beat(now, list(office.board.records.values()))))
     if message.configuration:
+        office.generations[peer] = message.configuration.generation
         hear_configuration(office, peer, Reconfigured(message.configuration), now)
     for key, ballot in (message.decided or {}).items():
         if Ballot(*ballot) > office.decided.get(key, (NO_BALLOT,))[0]:
--- a/sumacloom/registrar/office.py
+++ b/sumacloom/registrar/office.py
@@ -86,7 +86,7 @@
             {peer: self.peers[peer][1].number for peer in self.others() if self.alive(peer, now)},
             records, self.board.known_digest, self.acceptor.learned, sorted(self.told_suspects), positions or [],
             self.acceptor.configuration if whole and self.acceptor.learned else None, self.settings.voting,
-            self.contact.number, self.undecided() if whole else {},
+            self.contact.number, self.undecided() if whole else {}, self.settings.tolerate.nodes,
         )
 
     def tell_records(self, records: list, now: float) -> None:
