A taken order is known again or left unclear; late orders undo nothing that came after

Cause: 64 orders were remembered, so that after 65 further changes a taken one got 412. A withdrawal that found nothing to do was acknowledged without a write, so that an older order, accepted by a minority, was finished after it. A late copy of an order without a number looked like a new one. Copies at one registrar outbid each other until all ended without an answer. An access list taken before the last one got 412. A version above what the register encodes, or an If-Match of superscript or thousands of digits, ended the task without an answer. Ruled out: that a refused order is finished later by its own earlier copy (its base would still be current). Change: the last 2048 orders packed as (step of the version, 6 bytes of the digest), 503 below them; values of the older form are read. A change without effect is written under its own ballot. Orders without a number count only while their connection stands, and not in the half second after the process stood still; no change is applied after its proposal's cutoff. Changes of one key at one registrar follow one another. Access lists remember 64 offers.

--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -191,6 +191,8 @@
         if not self.acceptor.learned:
             proposal.outcome = Err(mishap("rejoining"))
             return proposal
+        if not reading and any(other.key == key and not other.reading for other in self.proposals):
+            proposal.hold()                            # two of our own would only outbid each other
         self.proposals.append(proposal)
         self.post(proposal.messages(), now)
         self.conclude(proposal, now)
@@ -232,6 +234,21 @@
             ballot, value = proposal.decided
             if self.settle(proposal.key, ballot, value, now):
                 self.tell_all(Decided(proposal.key, ballot))
+        self.release_held(proposal.key, now)
+
+    def release_held(self, key: str, now: float) -> None:
+        """The next change of a key begins once the one before it has ended.
+
+        >>> Node.release_held.__name__
+        'release_held'
+        """
+        ours = [proposal for proposal in self.proposals if proposal.key == key and not proposal.reading]
+        if ours and all(proposal.held for proposal in ours):
+            slot = self.acceptor.slot(key)
+            ours[0].known_ballot, ours[0].known_value = slot.accepted, slot.value
+            ours[0].begin(now)
+            self.post(ours[0].messages(), now)
+            self.conclude(ours[0], now)
 
     def settle(self, key: str, ballot: Ballot, value: bytes, now: float) -> bool:
         """Takes a decided value into force here; an older one changes nothing.
--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -2,6 +2,7 @@
 
 No I/O: it returns the messages to send. There is no leader and no log; any registrar proposes.
 """
+import math
 import random
 
 from ..common.results import Err, Ok, mishap
@@ -26,6 +27,7 @@
         self.ballots = ballots
         self.cutoff = now + cutoff_s
         self.outcome, self.decided = None, None
+        self.reading = reading
         self.round = "query" if reading else "prepare"
         self.resume_at = None
         self.begin(now)
@@ -41,6 +43,23 @@
         self.value, self.verdict = None, None
         self.resume_at, self.sent_at = None, now
 
+    def hold(self) -> None:
+        """Waits until another change of the key has ended; `begin` ends the wait.
+
+        >>> Proposal.hold.__name__
+        'hold'
+        """
+        self.resume_at = math.inf
+
+    @property
+    def held(self) -> bool:
+        """Whether it waits for another change of the key.
+
+        >>> Proposal.held.fget.__name__
+        'held'
+        """
+        return self.resume_at == math.inf
+
     def count_by(self, configuration: Configuration, now: float) -> list[tuple]:
         """Other voters than we counted by: a fresh round among them.
 
@@ -51,7 +70,8 @@
             return []
         self.configuration = configuration
         self.round = "prepare"
-        self.begin(now)
+        if not self.held:
+            self.begin(now)
         return self.messages()
 
     def messages(self) -> list[tuple]:
@@ -96,7 +116,7 @@
             self.replies[voter] = message
             if self.round == "accept":
                 return [(voter, Accept(self.key, self.ballot, self.value, message.incarnation, self.configuration.generation))]
-            return self.promised()
+            return self.promised(now)
         self.accepted.add(voter)
         if self.round == "accept" and self.configuration.has_quorum(self.accepted):
             self.decided = (self.ballot, self.value)
@@ -134,18 +154,24 @@
         self.begin(now)
         return self.messages()
 
-    def promised(self) -> list[tuple]:
-        """Enough promises: applies the change to the newest value.
+    def promised(self, now: float) -> list[tuple]:
+        """Enough promises: applies the change to the newest value, unless its caller's time is over.
+
+        A change that finds nothing to do writes the value anew: an order before it that only a minority has
+        accepted could else be finished after this one was acknowledged.
 
         >>> Proposal.promised.__name__
         'promised'
         """
         if not self.configuration.has_quorum(self.replies):
             return []
+        if now >= self.cutoff:
+            self.outcome = Err(mishap("no_majority"))
+            return []
         ballot, value, settled = self.newest()
         result = self.change(value)
         changed = result.is_ok() and result.ok() is not None
-        if not changed and (settled or value is None):
+        if value is None and not changed or settled and (result.is_err() or self.reading and not changed):
             if value is not None:
                 self.decided = (ballot, value)
             self.outcome = result if result.is_err() else Ok((ballot, value))
--- a/sumacloom/agreement/values.py
+++ b/sumacloom/agreement/values.py
@@ -7,19 +7,33 @@
 from ..common.blueprint import pack_blueprint, unpack_blueprint
 from ..common.differences import differ, patch
 from ..common.results import Err, Ok, mishap
+from .taken import Taken
 
 KEYS = ("blueprint", "evacuations", "duty/failover", "lanes", "voters", "listeners", "access", "pooling")
-HISTORY = 64
+OLD_HISTORY = 64              # how many a value of the older form remembered
 MOST_PAST, MOST_PAST_BYTES, MOST_UNDOS = 4, 48 << 10, 16
 
 
 class BlueprintValue(msgspec.Struct, array_like=True):
     ver: int
     packed: bytes
-    history: list[tuple[int, str]]       # (ver, digest) of those taken, the newest last
+    history: bytes | list[tuple[int, str]]     # those taken, packed; a list on disks of the older form
     past: list[tuple[int, bytes]] = []   # bodies before this one, the newest first, each as it differs from its follower
     undos: list[tuple[int, int, int]] = []     # (ver undone, ver whose body came back, its new ver)
 
+    def __post_init__(self):
+        if isinstance(self.history, list):
+            self.history = Taken.of_list(self.history, OLD_HISTORY).pack()
+
+    @property
+    def taken(self) -> Taken:
+        """Which configurations were taken.
+
+        >>> BlueprintValue(3, b"{}", [(3, "0a" * 16)]).taken.entries
+        ((3, b'\\n\\n\\n\\n\\n\\n'),)
+        """
+        return Taken.unpack(self.history)
+
     @property
     def raw(self) -> bytes:
         """The operator's own bytes.
@@ -94,13 +108,16 @@
 
     def change(current_bytes):
         current = decode(BlueprintValue, current_bytes) or BlueprintValue(0, b"", [])
-        if (ver, digest) in current.history:
+        taken = current.taken
+        if taken.holds(ver, digest):
             return Ok(None)
+        if base < ver <= taken.forgotten:
+            return Err(mishap("forgotten", f"it is not known any more whether the generation {ver} was this body"))
         if base != current.ver:
             return Err(mishap("stale_match", f"the current generation is {current.ver}, not {base}"))
         if ver <= current.ver:
             return Err(mishap("old_generation", f"ver {ver} is not above the current {current.ver}"))
-        history = [*current.history, (ver, digest)][-HISTORY:]
+        history = taken.add(ver, digest).pack()
         return Ok(encode(BlueprintValue(ver, packed, history, current.before(raw), current.undos)))
     return change
 
@@ -116,6 +133,8 @@
         current = decode(BlueprintValue, current_bytes) or BlueprintValue(0, b"", [])
         if any(undone == wrong for undone, _old, _ver in current.undos):
             return Ok(None)
+        if len(current.undos) >= MOST_UNDOS and wrong <= current.undos[0][0]:
+            return Err(mishap("forgotten", f"it is not known any more whether the generation {wrong} was undone"))
         if wrong != current.ver:
             return Err(mishap("stale_match", f"the current generation is {current.ver}, not {wrong}"))
         if not current.past:
@@ -123,30 +142,32 @@
         old, difference = current.past[0]
         ver = current.ver + 1
         raw = json.dumps({**json.loads(patch(current.raw, difference)), "ver": ver}, separators=(",", ":")).encode()
-        history = [*current.history, (ver, digest_of(raw))][-HISTORY:]
+        history = current.taken.add(ver, digest_of(raw)).pack()
         undos = [*current.undos, (wrong, old, ver)][-MOST_UNDOS:]
         return Ok(encode(BlueprintValue(ver, pack_blueprint(raw), history, current.before(raw), undos)))
     return change
 
 
-def digest_of(raw: bytes) -> str:
+def digest_of(raw: bytes) -> bytes:
     """What tells one body from another.
 
     >>> len(digest_of(b"{}"))
     32
     """
-    return hashlib.sha256(raw).hexdigest()[:32]
+    return hashlib.sha256(raw).digest()
 
 
 def evacuate(zone: str, wanted: bool):
     """The change that empties a zone, or takes it back.
 
+    The first order is written even if it changes nothing: an empty register can't refuse an older order.
+
     >>> decode(EvacuationsValue, evacuate("z", True)(None).ok()).zones
     ['z']
     """
     def change(current_bytes):
         current = decode(EvacuationsValue, current_bytes) or EvacuationsValue(0, [])
-        if (zone in current.zones) == wanted:
+        if current.generation and (zone in current.zones) == wanted:
             return Ok(None)
         zones = sorted({*current.zones, zone} if wanted else {*current.zones} - {zone})
         return Ok(encode(EvacuationsValue(current.generation + 1, zones)))
--- a/sumacloom/common/http.py
+++ b/sumacloom/common/http.py
@@ -2,7 +2,8 @@
 import json
 import socket
 import struct
-from typing import NamedTuple
+from functools import partial
+from typing import Callable, NamedTuple
 
 import curio
 import h11
@@ -25,6 +26,7 @@
     path: str
     headers: dict
     body: bytes
+    gone: Callable[[], bool] = bool      # whether the caller has ended its connection meanwhile
 
 
 class Reply(NamedTuple):
@@ -121,11 +123,26 @@
             body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
-            return await handler(Request(request.method.decode(), request.target.decode("latin-1"), headers, b"".join(body)))
+            return await handler(Request(request.method.decode(), request.target.decode("latin-1"), headers, b"".join(body),
+                                         partial(hung_up, sock._socket)))
         else:
             return None
 
 
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other end has closed or reset a connection; what it sent before and nobody read hides a close.
+
+    >>> one, other = socket.socketpair(); before = hung_up(one); other.close(); before, hung_up(one)
+    (False, True)
+    """
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 async def send_reply(sock, machine, reply: Reply) -> None:
     """Sends a whole reply.
 
--- a/sumacloom/registrar/access_calls.py
+++ b/sumacloom/registrar/access_calls.py
@@ -8,7 +8,7 @@
 from ..common.results import mishap
 from . import access, rollout
 from .admin import gather
-from .ctl import serves
+from .ctl import read_base, serves
 
 
 def current(office) -> Access | None:
@@ -32,10 +32,10 @@
     checked = check_access(request.body, {*shell.settings.zones.values()})
     if checked.is_err():
         return mishap_reply(checked.err())
-    base = request.headers.get("if-match", "").strip().strip('"')
-    if not base.isdigit():
+    base = read_base(request)
+    if base is None:
         return mishap_reply(mishap("match_missing", "If-Match must carry the generation built on, 0 for the first list"))
-    change = rollout.offer(access.AccessValue, pack_blueprint(request.body), b"", int(base))
+    change = rollout.offer(access.AccessValue, pack_blueprint(request.body), b"", base)
     result = await shell.decide(access.KEY, change)
     if result.is_err():
         return mishap_reply(result.err())
--- a/sumacloom/registrar/admin.py
+++ b/sumacloom/registrar/admin.py
@@ -14,7 +14,7 @@
 from ..common.types import NO_BALLOT
 from ..courier.messages import Inquire, Level, Part
 from . import duties, lanes, listening, pooling, undo
-from .ctl import serves
+from .ctl import decide_at_once, serves
 
 scribe = Scribe("admin")
 GATHER_S = 0.6
@@ -227,7 +227,7 @@
     unknown = sorted(set(databases) - known)
     if unknown:
         return mishap_reply(mishap("unknown_database", f"the blueprint has no database '{unknown[0]}'"))
-    result = await shell.decide(lanes.KEY, lanes.offer(databases))
+    result = await decide_at_once(shell, request, lanes.KEY, lanes.offer(databases))
     if result.is_err():
         return mishap_reply(result.err())
     value = decode(lanes.LanesValue, result.ok()[1])
--- a/sumacloom/registrar/check.py
+++ b/sumacloom/registrar/check.py
@@ -7,6 +7,8 @@
 from ..common.blueprint import decode_blueprint
 from ..common.results import Err, Ok, Result, mishap
 
+MOST_VERSION = (1 << 62) - 1         # what the register's encoding holds, with room to undo
+
 
 class RouteModel(BaseModel):
     model_config = ConfigDict(extra="allow", strict=True)
@@ -39,7 +41,7 @@
 
 class BlueprintModel(BaseModel):
     model_config = ConfigDict(extra="allow", strict=True)
-    ver: int = Field(gt=0)
+    ver: int = Field(gt=0, le=MOST_VERSION)
     routes: list[RouteModel]
     svcs: list[ServiceModel]
     limits: LimitsModel = LimitsModel()
--- a/sumacloom/registrar/ctl.py
+++ b/sumacloom/registrar/ctl.py
@@ -3,7 +3,7 @@
 
 from ..agreement.values import BlueprintValue, decode, evacuate, keep, put_blueprint
 from ..common.http import Reply, Request, json_reply, mishap_reply
-from ..common.results import mishap
+from ..common.results import Err, mishap
 
 PATHS = []
 
@@ -64,6 +64,36 @@
     return Reply(200, b"{}")
 
 
+def read_base(request: Request) -> int | None:
+    """The version in If-Match; None if it holds none.
+
+    >>> [read_base(Request("PUT", "/", {"if-match": text}, b"")) for text in ('"7"', "7", "", "\xb2", "9" * 5000)]
+    [7, 7, None, None, None]
+    """
+    text = request.headers.get("if-match", "").strip().strip('"')
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 20 else None
+
+
+def unless_gone(request: Request, change):
+    """The change, for as long as its caller waits: one that has given up may have ordered the contrary since.
+
+    >>> unless_gone(Request("POST", "/", {}, b"", lambda: True), keep)(None).err().name
+    'caller_gone'
+    """
+    return lambda current: Err(mishap("caller_gone")) if request.gone() else change(current)
+
+
+async def decide_at_once(shell, request: Request, key: str, change):
+    """The outcome of an order without a number: a late copy looks like a new one, so it counts only while its caller waits.
+
+    >>> decide_at_once.__name__
+    'decide_at_once'
+    """
+    if shell.waking():
+        return Err(mishap("stood_still"))
+    return await shell.decide(key, unless_gone(request, change))
+
+
 @serves("PUT", r"/api/config")
 async def take_blueprint(shell, request: Request) -> Reply:
     """The operator's blueprint: checked here, decided at a majority.
@@ -77,10 +107,10 @@
     checked = check_blueprint(request.body)
     if checked.is_err():
         return mishap_reply(checked.err())
-    base = request.headers.get("if-match", "").strip().strip('"')
-    if not base.isdigit():
+    base = read_base(request)
+    if base is None:
         return mishap_reply(mishap("match_missing"))
-    result = await shell.decide("blueprint", put_blueprint(checked.ok().ver, request.body, int(base)))
+    result = await shell.decide("blueprint", put_blueprint(checked.ok().ver, request.body, base))
     if result.is_err():
         return mishap_reply(result.err())
     return json_reply(200, {"ver": checked.ok().ver})
@@ -102,7 +132,7 @@
     return Reply(200, found.raw, (("ETag", f'"{found.ver}"'),))
 
 
-async def order_evacuation(shell, zone: str, wanted: bool) -> Reply:
+async def order_evacuation(shell, request: Request, zone: str, wanted: bool) -> Reply:
     """Empties a zone or takes it back; acknowledged once decided.
 
     >>> order_evacuation.__name__
@@ -110,7 +140,7 @@
     """
     if zone not in shell.settings.zones:
         return mishap_reply(mishap("unknown_zone", f"there is no zone '{zone}'"))
-    result = await shell.decide("evacuations", evacuate(zone, wanted))
+    result = await decide_at_once(shell, request, "evacuations", evacuate(zone, wanted))
     if result.is_err():
         return mishap_reply(result.err())
     return json_reply(200, {"zone": zone, "evacuated": wanted})
@@ -123,7 +153,7 @@
     >>> post_drain.__name__
     'post_drain'
     """
-    return await order_evacuation(shell, zone, True)
+    return await order_evacuation(shell, request, zone, True)
 
 
 @serves("DELETE", r"/api/drain/([^/]+)")
@@ -133,4 +163,4 @@
     >>> delete_drain.__name__
     'delete_drain'
     """
-    return await order_evacuation(shell, zone, False)
+    return await order_evacuation(shell, request, zone, False)
--- a/sumacloom/registrar/listening.py
+++ b/sumacloom/registrar/listening.py
@@ -9,7 +9,7 @@
 from ..common.results import Err, Ok, Result, mishap
 from ..courier.board import list_digest
 from . import listeners
-from .ctl import serves
+from .ctl import decide_at_once, serves
 from .feed import acknowledge
 
 LATER = (("Retry-After", "2"),)
@@ -37,15 +37,15 @@
     return reply._replace(headers=LATER) if found.status == 503 else reply
 
 
-async def order(shell, key: str, change) -> Result:
-    """A change, refused at once where no majority is heard.
+async def order(shell, key: str, change, request: Request | None = None) -> Result:
+    """A change, refused at once where no majority is heard; with a request, only while its caller waits.
 
     >>> order.__name__
     'order'
     """
     if not shell.office.heard_majority(shell.now()):
         return Err(mishap("no_majority", "no majority of the registrars is heard from here; come back in 2 s"))
-    return await shell.decide(key, change)
+    return await (decide_at_once(shell, request, key, change) if request else shell.decide(key, change))
 
 
 def read_body(request: Request, known: set) -> Result:
@@ -78,7 +78,7 @@
     if read.is_err():
         return refuse(read.err())
     name, database, token = read.ok()
-    result = await order(shell, listeners.KEY, listeners.subscribe(name, database, token))
+    result = await order(shell, listeners.KEY, listeners.subscribe(name, database, token), request)
     if result.is_err():
         return refuse(result.err())
     value = decode(listeners.Listeners, result.ok()[1])
@@ -94,7 +94,7 @@
     >>> delete_listener.__name__
     'delete_listener'
     """
-    result = await order(shell, listeners.KEY, listeners.unsubscribe(name, database, "asked"))
+    result = await order(shell, listeners.KEY, listeners.unsubscribe(name, database, "asked"), request)
     if result.is_err():
         return refuse(result.err())
     return json_reply(200, {"name": name, "database": database, "state": "ended"})
--- a/sumacloom/registrar/pooling.py
+++ b/sumacloom/registrar/pooling.py
@@ -9,7 +9,7 @@
 from ..common.results import Err, Ok, mishap
 from ..courier.board import pool_digest
 from ..courier.news import PoolNews, PoolRow
-from .ctl import serves
+from .ctl import decide_at_once, read_base, serves
 
 scribe = Scribe("pooling")
 KEY = "pooling"
@@ -160,10 +160,10 @@
         return mishap_reply(mishap("unknown_database", f"the blueprint has no database '{database}'"))
     if mode not in (*MODES, "auto"):
         return mishap_reply(mishap("unknown_mode", f"'{mode}' is none of {', '.join(MODES)}, auto"))
-    base = request.headers.get("if-match", "").strip().strip('"')
-    if base and not base.isdigit():
+    base = read_base(request)
+    if base is None and request.headers.get("if-match"):
         return mishap_reply(mishap("bad_request", "If-Match must be a generation"))
-    result = await shell.decide(KEY, pin(database, mode, int(base) if base else None))
+    result = await decide_at_once(shell, request, KEY, pin(database, mode, base))
     if result.is_err():
         return mishap_reply(result.err())
     value = decode(PoolValue, result.ok()[1]) or PoolValue()
--- a/sumacloom/registrar/rollout.py
+++ b/sumacloom/registrar/rollout.py
@@ -7,13 +7,15 @@
 
 import msgspec
 
-from ..agreement.values import decode, encode
+from ..agreement.taken import Taken
+from ..agreement.values import decode, digest_of, encode
 from ..common.logs import Scribe
 from ..common.results import Err, Ok, mishap
 from . import duties
 
 Body = TypeVar("Body")
 OFFER_S = 0.2
+MOST_TAKEN = 64
 
 
 class Staged(msgspec.Struct, Generic[Body], array_like=True):
@@ -22,6 +24,7 @@
     before: Body                 # what is in force while this is an offer
     in_force: bool
     since: int = 0               # the generation of `before`
+    history: bytes = b""         # the offers that were taken, of those that name what they build on
 
     @property
     def order(self) -> int:
@@ -52,6 +55,11 @@
     """
     def change(current_bytes):
         found = decode(kind, current_bytes) or kind(0, empty, empty, True)
+        taken, digest = Taken.unpack(found.history), digest_of(encode(wanted))
+        if base is not None and taken.holds(base + 1, digest):
+            return Ok(None)
+        if base is not None and base < taken.forgotten:
+            return Err(mishap("forgotten", f"it is not known any more whether the generation {base + 1} was this one"))
         resent = base is None or base in (found.generation, found.generation - 1)
         if found.generation and found.wanted == wanted and resent:
             return Ok(None)
@@ -60,7 +68,8 @@
         if base is not None and base != found.generation:
             return Err(mishap("stale_match", f"the current generation is {found.generation}, not {base}"))
         since, before = found.current
-        return Ok(encode(kind(found.generation + 1, wanted, before, False, since)))
+        history = found.history if base is None else taken.add(base + 1, digest, MOST_TAKEN).pack()
+        return Ok(encode(kind(found.generation + 1, wanted, before, False, since, history)))
     return change
 
 
@@ -77,7 +86,7 @@
             return Err(mishap("stale_match", "another generation was offered meanwhile"))
         if found.in_force:
             return Ok(None)
-        return Ok(encode(kind(generation, found.wanted, type(found.before)(), True)))
+        return Ok(encode(kind(generation, found.wanted, type(found.before)(), True, 0, found.history)))
     return change
 
 
--- a/sumacloom/registrar/shell.py
+++ b/sumacloom/registrar/shell.py
@@ -16,7 +16,7 @@
 from . import access_calls, admin, ctl  # noqa: F401  (access_calls serves calls)
 from .access import Stamps
 from .caretaker import mind_backends
-from .errands import Doubted, note_tick
+from .errands import Doubted, note_tick, stood_still
 from .pooling import hear_minds
 from .spool import take_intent, take_verdict
 from .syncing import sync_disk
@@ -28,6 +28,7 @@
 PEER_DIAL_S = 0.35
 FLIPPED_S = 0.4
 COUNT_S = 0.1
+WAKING_S = 0.5               # within it, all that came while we stood still has been read
 
 
 class Shell:
@@ -137,6 +138,16 @@
             await self.act()
         return proposal.outcome
 
+    def waking(self) -> bool:
+        """Whether this process stood still a moment ago: what it reads now may have come long before.
+
+        >>> from types import SimpleNamespace
+        >>> [Shell.waking(SimpleNamespace(now=lambda: 9.0, ticked_at=ticked_at, stood_still_at=stood_still_at))
+        ...  for ticked_at, stood_still_at in [(8.0, -1e9), (8.95, 8.9), (8.95, 1.0)]]
+        [True, True, False]
+        """
+        return stood_still(self, self.now() - WAKING_S)
+
     # ------------------------------------------------------------ links
     async def keep_link(self, peer: str) -> None:
         """Keeps a link to another registrar, dialling anew when it ends.
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -201,6 +201,9 @@
     def now(self):
         return self.town.land.now
 
+    def waking(self):
+        return False
+
     async def decide(self, key, change):
         return self.town.decide(self.office.me, key, change)
 
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,284 @@
+"""Operators' orders: what tells a taken one, copies and late arrivals, answers; histories are in test_histories."""
+import random
+import socket
+from types import SimpleNamespace
+
+import curio
+import pytest
+
+from sumacloom.agreement import taken
+from sumacloom.agreement.configuration import Configuration
+from sumacloom.agreement.proposer import Ballots, Proposal
+from sumacloom.agreement.values import (BlueprintValue, EvacuationsValue, decode, encode, evacuate, keep, put_blueprint,
+                                        undo_blueprint)
+from sumacloom.common import http
+from sumacloom.common.http import Request
+from sumacloom.common.results import Ok
+from sumacloom.common.types import NO_BALLOT
+from sumacloom.registrar import access, rollout
+from sumacloom.registrar.check import check_blueprint
+from sumacloom.registrar.ctl import delete_drain, post_drain, take_blueprint, unless_gone
+
+from .test_voters import Land
+
+
+def body_of(ver, by=""):
+    return b'{"ver":%d,"by":"%s"}' % (ver, by.encode())
+
+
+STORMS = {1: put_blueprint(1, body_of(1), 0)(None).ok()}
+
+
+def storm(last):
+    """The value after the changes 1 to `last`; what was made before is kept."""
+    newest = max(found for found in STORMS if found <= last)
+    value = STORMS[newest]
+    for ver in range(newest + 1, last + 1):
+        value = put_blueprint(ver, body_of(ver), ver - 1)(value).ok()
+    return STORMS.setdefault(last, value)
+
+
+def said(change, value):
+    result = change(value)
+    return result.err().name if result.is_err() else ("same" if result.ok() is None else "ok")
+
+
+# ------------------------------------------------------------ what tells a taken order
+OLD = encode([70, body_of(70), [(ver, "%032x" % ver) for ver in range(7, 71)], [], []])
+YOUNG = encode([3, body_of(3), [(2, "%032x" % 2), (3, "%032x" % 3)], [], []])
+FIRST = put_blueprint(1, body_of(1), 0)
+MEMORY = [
+    # (changes since the first, the order that comes, what it is told)
+    (65, FIRST, "same"),
+    (65, put_blueprint(1, body_of(1), 7), "same"),                  # that very configuration, whatever it says it builds on
+    (65, put_blueprint(1, b"other", 0), "stale_match"),             # the same number, and it lost
+    (65, put_blueprint(40, b"other", 39), "stale_match"),
+    (65, put_blueprint(40, body_of(40), 39), "same"),
+    (65, put_blueprint(80, body_of(80), 2), "stale_match"),         # above all that were taken: it never was
+    (65, put_blueprint(66, b"other", 66), "old_generation"),
+    (taken.MOST_TAKEN - 1, FIRST, "same"),
+    (taken.MOST_TAKEN, FIRST, "forgotten"),
+    (taken.MOST_TAKEN, put_blueprint(1, b"other", 0), "forgotten"),
+    (taken.MOST_TAKEN, put_blueprint(1, b"other", 1), "stale_match"),       # no order can be taken that builds on itself
+    (taken.MOST_TAKEN, put_blueprint(2, body_of(2), 1), "same"),
+    (taken.MOST_TAKEN, put_blueprint(2, b"other", 1), "stale_match"),
+]
+
+
+@pytest.mark.parametrize("count, order, expected", MEMORY)
+def test_a_taken_order_is_known_again_or_left_unclear(count, order, expected):
+    """Found by a storm: after 65 further changes an order that was taken got 412."""
+    assert said(order, storm(1 + count)) == expected
+
+
+def test_the_memory_is_bounded_in_bytes():
+    assert len(storm(64)) < 1 << 10                                       # below what 64 took before
+    sizes = [len(decode(BlueprintValue, storm(taken.MOST_TAKEN + more)).history) for more in (1, 100)]
+    assert sizes[0] <= sizes[1] <= sizes[0] + 100 < 17 << 10              # versions take two bytes where they climb by 128
+
+
+@pytest.mark.parametrize("value, order, expected", [
+    (OLD, put_blueprint(6, b"x", 5), "forgotten"), (OLD, put_blueprint(70, b"x", 69), "stale_match"),
+    (OLD, put_blueprint(71, b"x", 70), "ok"), (YOUNG, put_blueprint(1, b"x", 0), "stale_match"),
+])
+def test_values_of_the_older_form_are_read(value, order, expected):
+    assert said(order, value) == expected
+    found = decode(BlueprintValue, value)
+    assert found.taken.holds(found.ver, bytes.fromhex("%032x" % found.ver)) and decode(BlueprintValue, encode(found)) == found
+
+
+def test_an_undo_sent_again_after_many_more_is_not_refused():
+    value = storm(2)
+    for wrong in range(2, 20):
+        value = undo_blueprint(wrong)(value).ok()
+    assert [said(undo_blueprint(wrong), value) for wrong in (2, 3, 4, 19)] == ["forgotten", "forgotten", "same", "same"]
+
+
+def test_an_access_list_sent_again_after_others_is_known_again():
+    """Found by reading: the list taken before the last one got 412."""
+    offers = [rollout.offer(access.AccessValue, b"list %d" % base, b"", base) for base in range(70)]
+    value = None
+    for change in offers:
+        value = change(value).ok()
+    assert [said(offers[base], value) for base in (69, 68, 6, 5)] == ["same", "same", "same", "forgotten"]
+    assert said(rollout.offer(access.AccessValue, b"other", b"", 30), value) == "stale_match"
+    assert said(offers[68], rollout.enforce(access.AccessValue, 70)(value).ok()) == "same"
+
+
+@pytest.mark.parametrize("ver", [1 << 62, 1 << 64, 1 << 80])
+def test_a_version_that_no_register_can_hold_is_invalid(ver):
+    assert check_blueprint(b'{"ver":%d,"routes":[],"svcs":[]}' % ver).err().name == "invalid_field"
+
+
+# ------------------------------------------------------------ orders without a number
+def strand(land, change, key="evacuations"):
+    """An order proposed at .3 that only .3 accepts: its proposer is then cut off, and gets no answer."""
+    proposal = land.offices["10.0.0.3"].propose(key, change, land.now)
+    before = land.offices["10.0.0.3"].acceptor.slot(key).accepted
+    while land.offices["10.0.0.3"].acceptor.slot(key).accepted == before:
+        land.step()
+    land.cut = {frozenset(("10.0.0.3", other)) for other in ("10.0.0.1", "10.0.0.2")}
+    land.post = [entry for entry in land.post if "10.0.0.3" not in entry[1:3]]
+    return proposal
+
+
+def zones(land):
+    reading = land.offices["10.0.0.1"].propose("evacuations", keep, land.now, reading=True)
+    land.run(1.0)
+    value = decode(EvacuationsValue, reading.outcome.ok()[1])
+    return value.zones if value else []
+
+
+@pytest.mark.parametrize("earlier", [[], ["y"]])
+def test_a_withdrawn_order_that_a_minority_accepted_is_never_finished(earlier):
+    """The withdrawal found nothing to do, and the next sweep brought the evacuation into force after all."""
+    land = Land(11, loss=0.0)
+    land.run(3.0)
+    for zone in earlier:
+        land.offices["10.0.0.1"].propose("evacuations", evacuate(zone, True), land.now)
+    land.run(1.0)
+    stranded = strand(land, evacuate("z", True))
+    land.run(1.0)
+    assert stranded.outcome.err().name == "no_majority"
+    withdrawn = land.offices["10.0.0.1"].propose("evacuations", evacuate("z", False), land.now)
+    land.run(1.0)
+    assert withdrawn.outcome.is_ok()
+    land.cut = set()
+    land.run(4.0)
+    assert zones(land) == earlier
+
+
+def test_a_taken_order_whose_proposer_timed_out_is_finished_and_known_again():
+    land = Land(12, loss=0.0)
+    land.run(3.0)
+    first = strand(land, put_blueprint(4, body_of(4), 0), "blueprint")
+    land.run(1.0)
+    assert first.outcome.err().name == "no_majority"
+    land.cut = set()
+    land.run(2.0)
+    copies = [land.offices[ip].propose("blueprint", put_blueprint(4, body_of(4), 0), land.now) for ip in ("10.0.0.1", "10.0.0.2")]
+    land.run(1.5)
+    assert all(copy.outcome.is_ok() for copy in copies)
+
+
+def test_a_held_change_stays_held_when_the_voters_change():
+    ballots = Ballots("a", 1, random.Random(1))
+    proposal = Proposal("k", keep, Configuration(1, (), ("a",)), (NO_BALLOT, None), ballots, 0.0)
+    proposal.hold()
+    assert proposal.count_by(Configuration(2, (), ("a", "b")), 0.1) == [] and proposal.held
+    proposal.begin(0.2)
+    assert len(proposal.messages()) == 2
+
+
+def test_eight_copies_at_once_are_never_refused():
+    for seed in range(6):
+        land = Land(seed, loss=0.05)
+        land.run(3.0)
+        copies = [land.offices[f"10.0.0.{1 + number % 3}"].propose("blueprint", put_blueprint(4, body_of(4), 0), land.now)
+                  for number in range(8)]
+        land.run(1.5)
+        ends = {"ok" if copy.outcome.is_ok() else copy.outcome.err().name for copy in copies}
+        assert "ok" in ends and ends <= {"ok", "no_majority"}
+
+
+def test_an_order_is_not_proposed_once_its_caller_has_gone():
+    land, gone = Land(13, loss=0.0), []
+    land.run(3.0)
+    request = Request("POST", "/api/drain/z", {}, b"", lambda: bool(gone))
+    before = land.offices["10.0.0.1"].propose("evacuations", unless_gone(request, evacuate("z", True)), land.now)
+    land.run(0.5)
+    land.offices["10.0.0.2"].propose("evacuations", evacuate("z", False), land.now)
+    land.run(0.5)
+    late = land.offices["10.0.0.3"].propose("evacuations", unless_gone(request, evacuate("z", True)), land.now)
+    gone.append(True)                                          # while the promises are on their way
+    land.run(0.5)
+    assert before.outcome.is_ok() and late.outcome.err().name == "caller_gone" and zones(land) == []
+
+
+def test_a_proposer_that_stood_still_applies_no_change_after_its_cutoff():
+    land = Land(14, loss=0.0)
+    land.run(3.0)
+    one = land.offices["10.0.0.1"]
+    late = one.propose("evacuations", evacuate("z", True), land.now)
+    held, tick = [], one.tick
+    hear, one.hear, one.tick = one.hear, lambda *message: held.append(message), lambda now: None
+    land.run(0.5)
+    assert held                                                # promises lie unread while it stands still
+    land.run(3.0)
+    for peer, message, _at in held:
+        hear(peer, message, land.now)
+    assert late.outcome.err().name == "no_majority"
+    one.hear, one.tick = hear, tick
+    land.run(2.0)
+    assert zones(land) == []
+
+
+class StubShell:
+    """What the handlers of orders see of a registrar; changes are applied at once."""
+
+    def __init__(self, waking=False):
+        self.settings, self.value, self.woken, self.most_blueprint = SimpleNamespace(zones={"z": "r"}), None, waking, 999
+
+    def waking(self):
+        return self.woken
+
+    async def decide(self, key, change):
+        result = change(self.value)
+        self.value = result.ok() if result.is_ok() and result.ok() else self.value
+        return result if result.is_err() else Ok((None, self.value))
+
+
+@pytest.mark.parametrize("order", [post_drain, delete_drain])
+@pytest.mark.parametrize("gone, waking, zone, status", [
+    (False, False, "z", 200), (True, False, "z", 503), (False, True, "z", 503), (False, False, "y", 422)])
+def test_orders_without_a_number_count_while_their_caller_waits(order, gone, waking, zone, status):
+    shell = StubShell(waking)
+    reply = curio.run(order, shell, Request("POST", "/", {}, b"", lambda: gone), zone)
+    assert reply.status == status and (shell.value is not None) == (status == 200)
+
+
+BODY = b'{"ver":3,"routes":[],"svcs":[]}'
+PUTS = [
+    # (If-Match, body, status)
+    ("0", BODY, 200), ('"0"', BODY, 200), ("", BODY, 428), ("\xb2", BODY, 428), ("9" * 5000, BODY, 428), ("1", BODY, 412),
+    ("0", BODY.replace(b"3", b"%d" % (1 << 80)), 400), ("0", BODY[:-1], 400),
+]
+
+
+@pytest.mark.parametrize("match, body, status", PUTS)
+def test_answers_to_configurations(match, body, status):
+    """Found by reading: a number that can't be read or held ended the connection, or the task, without an answer."""
+    request = Request("PUT", "/api/config", {"if-match": match}, body, lambda: True)
+    assert curio.run(take_blueprint, StubShell(True), request).status == status
+
+
+def exchange(sent, close, handler):
+    """What a caller reads that sends bytes over one connection, and closes it if `close`."""
+    async def both():
+        ours, theirs = socket.socketpair()
+        ours.sendall(sent)
+        if close:
+            ours.close()
+        await http.serve_wire(curio.io.Socket(theirs), handler)
+        return b"" if close else ours.recv(65536)
+    return curio.run(both)
+
+
+@pytest.mark.parametrize("close", [False, True])
+def test_a_request_knows_whether_its_caller_has_gone(close):
+    seen = []
+
+    async def handler(request):
+        seen.append(request.gone())
+        return http.Reply(200)
+    exchange(b"POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", close, handler)
+    assert seen == [close]
+
+
+def test_answers_on_one_connection_keep_their_order():
+    async def handler(request):
+        await curio.sleep(0.02 if request.path == "/slow" else 0)
+        return http.Reply(200, request.path.encode())
+    sent = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /fast HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    got = exchange(sent, False, handler)
+    assert 0 < got.index(b"/slow") < got.index(b"/fast")
