--- a/sumacloom/agreement/values.py
+++ b/sumacloom/agreement/values.py
@@ -55,7 +55,7 @@
     def before(self, raw: bytes) -> list[tuple[int, bytes]]:
         """What the next value, of that body, keeps to go back to: bounded in bytes, but always the one before.
 
-        >>> [ver for ver, _difference in BlueprintValue(3, b"x", [], [(2, b"y")]).before(b"z")]
+        >>> [ver for ver, _difference in BlueprintValue(3, b"{}", [], [(2, b"y")]).before(b"z")]
         [3, 2]
         """
         kept, size = [], 0
