--- a/sumacloom/agreement/node.py
+++ b/sumacloom/agreement/node.py
@@ -10,6 +10,7 @@
 from . import membership, storage
 from .configuration import Configuration
 from .contact import Contact
+from .disk import OnDisk
 from .hearing import HEARERS, KNOWN_S, is_credible
 from .messages import Decided, Prepare, Tell
 from .proposer import Ballots, Proposal
@@ -22,7 +23,7 @@
 ASK_S = 0.3
 
 
-class Node:
+class Node(OnDisk):
     """One voter, or one that would vote."""
 
     def __init__(self, settings: Settings, ledger, random, now: float):
@@ -72,66 +73,6 @@
         """
         return storage.whole(self.acceptor)
 
-    # ------------------------------------------------------------ disk
-    def open_acceptor(self):
-        """The acceptor as the ledger left it; at the very first start, a new one.
-
-        >>> Node.open_acceptor.__name__
-        'open_acceptor'
-        """
-        ledger = self.storage.ledger
-        opened = storage.open_acceptor(ledger.payloads, self.storage.others)
-        if opened.is_err():
-            raise storage.ForeignLedger(opened.err())
-        if ledger.damaged and ledger.damaged.name == "ledger_foreign":
-            raise storage.ForeignLedger(ledger.damaged)
-        acceptor = opened.ok()
-        acceptor.learned = acceptor.learned and not ledger.damaged
-        for slot in [*acceptor.slots.values()]:
-            self.ballots.saw(slot.promised)
-        self.ballots.saw(acceptor.floor)
-        records = storage.after_start(acceptor, self.settings, self.seeds, self.nonce, ledger.fresh)
-        if records:
-            self.storage.write(records)
-        ledger.payloads = []
-        return acceptor
-
-    def write(self, keys: list[str], promise_only: bool = False) -> None:
-        """Puts keys on their way to the disk.
-
-        >>> Node.write.__name__
-        'write'
-        """
-        if keys:
-            self.storage.write([storage.slot_record(self.acceptor, key, promise_only) for key in keys])
-            self.snapshot_if_full()
-
-    def write_floor(self, keys: list[str]) -> None:
-        """Puts the promise that holds for every key on its way to the disk.
-
-        >>> Node.write_floor.__name__
-        'write_floor'
-        """
-        self.storage.write([storage.floor_record(self.acceptor), *(
-            storage.slot_record(self.acceptor, key, True) for key in keys)])
-
-    def write_all(self) -> None:
-        """Puts everything on its way to the disk.
-
-        >>> Node.write_all.__name__
-        'write_all'
-        """
-        self.storage.write(self.whole(), whole=True)
-
-    def snapshot_if_full(self) -> None:
-        """Writes a snapshot when the segment is full and the disk is ours alone.
-
-        >>> Node.snapshot_if_full.__name__
-        'snapshot_if_full'
-        """
-        if self.storage.prompt and self.storage.ledger.full:
-            self.storage.ledger.snapshot(self.whole())
-
     def release(self, peer: str, message) -> None:
         """Sends a vote's reply, once all that was written before it is on disk.
 
@@ -195,6 +136,8 @@
         if not self.acceptor.learned:
             proposal.outcome = Err(mishap("rejoining"))
             return proposal
+        if not reading and any(other.key == key and not other.reading for other in self.proposals):
+            proposal.hold()                            # two of our own would only outbid each other
         self.proposals.append(proposal)
         self.post(proposal.messages(), now)
         self.conclude(proposal, now)
@@ -236,6 +179,21 @@
             ballot, value = proposal.decided
             if self.settle(proposal.key, ballot, value, now):
                 self.tell_all(Decided(proposal.key, ballot))
+        self.release_held(proposal.key, now)
+
+    def release_held(self, key: str, now: float) -> None:
+        """The next change of a key begins once the one before it has ended.
+
+        >>> Node.release_held.__name__
+        'release_held'
+        """
+        ours = [proposal for proposal in self.proposals if proposal.key == key and not proposal.reading]
+        if ours and all(proposal.held for proposal in ours):
+            slot = self.acceptor.slot(key)
+            ours[0].known_ballot, ours[0].known_value = slot.accepted, slot.value
+            ours[0].begin(now)
+            self.post(ours[0].messages(), now)
+            self.conclude(ours[0], now)
 
     def settle(self, key: str, ballot: Ballot, value: bytes, now: float) -> bool:
         """Takes a decided value into force here; an older one changes nothing.
--- a/sumacloom/counter/member.py
+++ b/sumacloom/counter/member.py
@@ -8,6 +8,7 @@
 from ..courier.messages import Follow, Held, Hello, MemberBeat, News, Noted, Pending, RegistrarBeat
 from ..courier.news import Digest
 from .gate import Lease
+from .places import Places
 
 scribe = Scribe("member")
 BEAT_S, EARLY_S = 0.35, 0.1       # the second while new: what we hold is to be confirmed soon
@@ -19,7 +20,7 @@
 CLAIM_S = 2.0          # shorter than the registrars' SESSION_S: a counter doubts before it is given up
 
 
-class Member:
+class Member(Places):
     """Keeps one session standing, and the news fresh."""
 
     def __init__(self, settings, clock, on_news, yard, mishaps, report, life=0, on_spool=None):
@@ -199,37 +200,6 @@
             self.session.end()
         self.awake_at = now
 
-    async def measure(self) -> None:
-        """Learns which registrar is nearest by the time that a connection takes.
-
-        >>> Member.measure.__name__
-        'measure'
-        """
-        async def time_one(address):
-            started = self.clock()
-            try:
-                sock = await dial(*split_address(address), 0.4)
-                self.nearness[address] = self.clock() - started
-                await sock.close()
-            except OSError:
-                pass
-        tasks = [await curio.spawn(time_one, address) for address in self.registrars]
-        for task in tasks:
-            await task.join()
-
-    async def open(self, address: str) -> Link:
-        """Dials a daemon and says hello.
-
-        >>> Member.open.__name__
-        'open'
-        """
-        started = self.clock()
-        sock = await dial(*split_address(address), 0.5)
-        self.nearness[address] = self.clock() - started
-        link = Link(sock)
-        link.send(self.hello())
-        return link
-
     async def watch(self, link: Link) -> None:
         """Beats on the session; ends it when it goes quiet, or when a nearer registrar is back.
 
@@ -255,42 +225,6 @@
                     break
         link.end()
 
-    async def nearer_is_back(self) -> bool:
-        """Whether a clearly nearer registrar takes links again.
-
-        >>> Member.nearer_is_back.__name__
-        'nearer_is_back'
-        """
-        mine = self.nearness.get(self.attached, 1.0)
-        nearer = [address for address in self.registrars if self.nearness.get(address, 0.0) < mine / 4]
-        for address in nearer:
-            started = self.clock()
-            try:
-                sock = await dial(*split_address(address), 0.3)
-            except OSError:
-                continue
-            self.nearness[address] = self.clock() - started
-            await sock.close()
-            if self.nearness[address] < mine / 4:
-                return True
-        return False
-
-    async def another_answers(self) -> bool:
-        """Whether some other registrar takes links.
-
-        >>> Member.another_answers.__name__
-        'another_answers'
-        """
-        for address in self.registrars:
-            if address != self.attached:
-                try:
-                    sock = await dial(*split_address(address), 0.3)
-                except OSError:
-                    continue
-                await sock.close()
-                return True
-        return False
-
     async def hear(self, link: Link, message) -> None:
         """What the registrar says.
 
--- /dev/null
+++ b/sumacloom/counter/places.py
@@ -0,0 +1,76 @@
+"""Where the registrars are: how near each is, and which of them answers."""
+import curio
+
+from ..common.settings import split_address
+from ..courier.links import Link, dial
+
+
+class Places:
+    """The part of a counter's membership that dials registrars and other counters."""
+
+    async def measure(self) -> None:
+        """Learns which registrar is nearest by the time that a connection takes.
+
+        >>> Places.measure.__name__
+        'measure'
+        """
+        async def time_one(address):
+            started = self.clock()
+            try:
+                sock = await dial(*split_address(address), 0.4)
+                self.nearness[address] = self.clock() - started
+                await sock.close()
+            except OSError:
+                pass
+        tasks = [await curio.spawn(time_one, address) for address in self.registrars]
+        for task in tasks:
+            await task.join()
+
+    async def open(self, address: str) -> Link:
+        """Dials a daemon and says hello.
+
+        >>> Places.open.__name__
+        'open'
+        """
+        started = self.clock()
+        sock = await dial(*split_address(address), 0.5)
+        self.nearness[address] = self.clock() - started
+        link = Link(sock)
+        link.send(self.hello())
+        return link
+
+    async def nearer_is_back(self) -> bool:
+        """Whether a clearly nearer registrar takes links again.
+
+        >>> Places.nearer_is_back.__name__
+        'nearer_is_back'
+        """
+        mine = self.nearness.get(self.attached, 1.0)
+        nearer = [address for address in self.registrars if self.nearness.get(address, 0.0) < mine / 4]
+        for address in nearer:
+            started = self.clock()
+            try:
+                sock = await dial(*split_address(address), 0.3)
+            except OSError:
+                continue
+            self.nearness[address] = self.clock() - started
+            await sock.close()
+            if self.nearness[address] < mine / 4:
+                return True
+        return False
+
+    async def another_answers(self) -> bool:
+        """Whether some other registrar takes links.
+
+        >>> Places.another_answers.__name__
+        'another_answers'
+        """
+        for address in self.registrars:
+            if address != self.attached:
+                try:
+                    sock = await dial(*split_address(address), 0.3)
+                except OSError:
+                    continue
+                await sock.close()
+                return True
+        return False
--- a/tests/test_first_voters.py
+++ b/tests/test_first_voters.py
@@ -59,7 +59,7 @@
     land.run(3.0)
     assert {ip: one.disputed for ip, one in land.offices.items()} == {A: {C}, B: {C}, C: {A, B}}
     said = caplog.text + "".join(capsys.readouterr())
-    assert said.count("1310 ") == 4
+    assert said.count("1315 ") == 4
 
 
 def test_a_seed_that_does_not_vote_by_its_settings_goes_once_another_can_take_its_place():
