A voter asked late may accept where its promise tells of nothing newer

Change: a late promise counts where it tells of nothing above what the value was made from; all who accept are then promises enough by themselves. A refused round begins anew after 0.45 s instead of 0.3.

--- a/sumacloom/agreement/proposer.py
+++ b/sumacloom/agreement/proposer.py
@@ -11,7 +11,8 @@
 from .messages import Accept, Copy, Prepare, Promise, Query, Refused
 
 RESEND_S = 0.1
-RENEW_S = 0.3      # a round that lasts so long begins anew, where a voter refused it or was asked too late for it
+RENEW_S = 0.3      # a second round that lasts so long begins anew where a voter asked late has answered
+REFUSED_S = 0.45   # a round refused by some, and not answered by the others for so long, begins anew
 BACK_OFF_S, MOST_BACK_OFF_S = 0.12, 0.48     # after the first lost duel, doubled with each
 
 
@@ -42,7 +43,7 @@
         """
         self.ballot = self.ballots.next()
         self.replies, self.accepted, self.refused, self.late = {}, set(), set(), set()
-        self.value, self.verdict = None, None
+        self.value, self.verdict, self.based_on = None, None, NO_BALLOT
         self.resume_at, self.sent_at, self.begun_at = None, now, now
 
     def hold(self) -> None:
@@ -115,11 +116,7 @@
             return []
         if isinstance(message, Promise):
             if self.round == "accept":
-                # only those whose promises gave the value may accept it: one of them may have lost its disk
-                # since, and together with a voter asked late it may have decided what this one tells of
-                if voter not in self.replies:
-                    self.late.add(voter)
-                return []
+                return self.promised_late(voter, message)
             if voter in self.replies:
                 return []
             self.replies[voter] = message
@@ -130,6 +127,24 @@
             self.outcome = self.verdict or Ok(self.decided)
         return []
 
+    def promised_late(self, voter: str, promise) -> list[tuple]:
+        """A promise once the value is on its way: its voter may accept the value if it tells of nothing newer.
+
+        One whose promise gave the value may have lost its disk since, and together with this voter it may have
+        decided what this one tells of. All that accept have promised and told of nothing above `based_on`: so
+        they are a majority that could have given the value by themselves.
+
+        >>> Proposal.promised_late.__name__
+        'promised_late'
+        """
+        if voter in self.replies:
+            return []
+        if Ballot(*promise.accepted) > self.based_on:
+            self.late.add(voter)
+            return []
+        self.replies[voter] = promise
+        return [(voter, Accept(self.key, self.ballot, self.value, promise.incarnation, self.configuration.mark))]
+
     def newest(self) -> tuple:
         """The highest accepted (ballot, value) among the replies, and whether enough hold it.
 
@@ -183,7 +198,7 @@
                 self.decided = (ballot, value)
             self.outcome = result if result.is_err() else Ok((ballot, value))
             return []
-        self.value = result.ok() if changed else value
+        self.value, self.based_on = result.ok() if changed else value, ballot
         self.verdict = result if result.is_err() else None
         self.round = "accept"
         return self.messages()
@@ -219,7 +234,7 @@
             self.begin(now)
             return self.messages()
         if now - self.sent_at >= RESEND_S:
-            if self.refused and now - self.begun_at >= RENEW_S:       # the silent ones may never answer
+            if self.refused and now - self.begun_at >= REFUSED_S:       # the silent ones may never answer
                 self.back_off(now)
                 return []
             self.sent_at = now
