--- a/sumacloom/courier/board.py
+++ b/sumacloom/courier/board.py
@@ -15,7 +15,7 @@
     """A short digest of a blueprint's own bytes, by which nodes are compared.
 
     >>> body_digest(b"{}")
-    'a3f6b4cc'
+    'a3a6bf43'
     """
     return f"{zlib.crc32(unpack_blueprint(packed)):08x}" if packed else ""
 
@@ -24,7 +24,7 @@
     """A short digest of a subscriber list, by which nodes are compared.
 
     >>> list_digest(ListenNews(1, [("desk", "books", "listening")]))
-    '6c8eeb3e'
+    'dc1e5497'
     """
     return f"{zlib.crc32(repr(sorted(map(tuple, listeners.rows))).encode()):08x}"
 
--- a/sumacloom/courier/messages.py
+++ b/sumacloom/courier/messages.py
@@ -183,7 +183,7 @@
     """A message with its length before it.
 
     >>> frame(Fetch("k"))[:4]
-    b'\\x00\\x00\\x00\\x09'
+    b'\\x00\\x00\\x00\\t'
     """
     body = ENCODER.encode(message)
     return len(body).to_bytes(4, "big") + body
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,16 +1,23 @@
 """Stand-ins for backends and platform on loopback, and the real programs between them.
 
     python3 -m tests.standins            runs a small fleet until Ctrl-C and tells its addresses
-    python3 -m tests.standins --trial    plays a short day with a dead primary and ends 0 if it was served
+    python3 -m tests.standins --trial    plays a short day with a dead primary, shows what was served and ends 0 if it was
+
+Both install the pinned libraries first, if they are missing.
 """
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 
-from . import conftest  # noqa: F401  (finds target/deps)
+from . import conftest, libraries
+
+if __name__ == "__main__":
+    libraries.install()
+
 import curio  # noqa: E402
 
 from sumacloom.common import http  # noqa: E402
@@ -257,13 +264,13 @@
                             env={**os.environ, "SUMACLOOM_NODE_FILE": path})
 
 
-async def main(with_trial: bool) -> None:
-    """The fleet."""
+async def main(with_trial: bool, processes: dict[str, subprocess.Popen]) -> None:
+    """The fleet; its programs are noted in `processes`."""
     service = Service()
     await service.run()
     with tempfile.TemporaryDirectory() as folder:
-        processes = {f"{role}-{number}": start(folder, role, number)
-                     for role, numbers in (("registrar", (1, 2, 3)), ("counter", (1, 2, 3))) for number in numbers}
+        processes |= {f"{role}-{number}": start(folder, role, number)
+                      for role, numbers in (("registrar", (1, 2, 3)), ("counter", (1, 2, 3))) for number in numbers}
         try:
             if with_trial:
                 from .trial import trial
@@ -277,8 +284,11 @@
         finally:
             for process in processes.values():
                 process.send_signal(signal.SIGTERM)
-            codes = {name: process.wait() for name, process in processes.items()}
+            codes = {name: await curio.run_in_thread(process.wait) for name, process in processes.items()}
             print("exit codes:", codes)
+            for name in (name for name, code in codes.items() if code):
+                with open(os.path.join(folder, f"{name}.log"), encoding="utf-8") as file:
+                    print(f"the end of the log of {name}:", "".join(file.readlines()[-40:]), sep="\n")
             if with_trial and any(codes.values()):
                 raise SystemExit(1)
 
@@ -290,7 +300,14 @@
 
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, interrupt)
+    started: dict[str, subprocess.Popen] = {}
+    with socket.socket() as probe:
+        if probe.connect_ex(("127.0.0.1", CTL)) == 0:
+            raise SystemExit(f"another fleet serves at 127.0.0.1:{CTL}; end it first")
     try:
-        curio.run(main, "--trial" in sys.argv)
+        curio.run(main, "--trial" in sys.argv, started)
     except KeyboardInterrupt:
         pass
+    finally:
+        for program in started.values():
+            program.kill()      # none outlives the stand-ins; those that have ended are left alone
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 
 import curio
 
@@ -13,9 +14,12 @@
 from .standins import BLUEPRINT, CTL, FE, ROOT, ZONES, Service, start
 
 
+SENT: Counter = Counter()     # statements by what became of them
+
+
 async def talk(number: int, database: str, *texts: str) -> list[str]:
     """A client's session with a counter: every line of its replies."""
-    lines = []
+    lines, answers = [], []
     try:
         async with curio.timeout_after(5.0):
             sock = await dial(f"127.0.0.{10 + number}", FE)
@@ -30,11 +34,21 @@
                             return lines + got + ["(closed)"]
                         got += splitter.feed(data)
                     lines += got
+                    answers += ["refused" if got[0].startswith("ERR") else "served"] if place else []
     except (OSError, curio.TaskTimeout) as error:
         lines.append(f"({type(error).__name__})")
+    finally:
+        SENT.update(answers + ["not answered"] * (len(texts) - len(answers)))
     return lines
 
 
+async def show(number: int, database: str, *texts: str) -> None:
+    """A session as a person would see it."""
+    print(f"trial: a client of counter {number}, database {database}: {'; '.join(texts)}")
+    for line in await talk(number, database, *texts):
+        print(f"    {line}")
+
+
 async def until(what: str, check, seconds: float = 20.0):
     """Waits for something to be so."""
     started = time.monotonic()
@@ -121,7 +135,8 @@
         return await fleet("blueprint", "put", path) == 0
     await until("the blueprint is taken", put)
     await until("writes are served", served)
-    print("\n".join(await talk(3, "search", "FETCH a")))
+    await show(1, "books", "BEGIN", "PUT a three", "FETCH a", "COMMIT")
+    await show(3, "search", "FETCH a")
     for command in (["status"], ["backends"], ["members"], ["rotation"], ["duties"],
                     ["query", "SELECT zone, count(*) AS backends FROM backends GROUP BY zone"]):
         print(f"$ sumacloom fleet {' '.join(command)}", flush=True)
@@ -156,6 +171,7 @@
         raise SystemExit(f"trial: the listener took {taken}")
     await service.backends[0].die()
     await until("writes are served after the primary died", served)
+    await show(2, "books", "FETCH a", "PUT a after", "FETCH a")
     processes["registrar-1"].kill()
     processes["registrar-1"].wait()
     await fleet("evacuate", "zone-b")
@@ -172,3 +188,4 @@
              "--json", "--at", f"127.0.0.2:{CTL}"], cwd=ROOT, capture_output=True, timeout=60))
         return b'"n": 3' in process.stdout
     await until("the killed registrar votes again", whole)
+    print("trial: statements", ", ".join(f"{count} {what}" for what, count in SENT.most_common()), flush=True)
