--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -143,3 +143,9 @@
         rows = re.findall(r"^\| (\d+) \| `(\w+)` \| (\S+) \| (\d+) \|", file.read(), re.M)
     assert rows == [(str(code), name, str(status or "-"), str(leave))
                     for name, (code, status, leave, _text) in TABLE.items()]
+
+
+def test_each_result_has_a_number_of_its_own():
+    """Found when three changes met: 1310 meant three things."""
+    numbers = [code for code, *_rest in TABLE.values()]
+    assert len(numbers) == len(set(numbers))
