--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -4,10 +4,13 @@
 import sys
 import time
 
-from .acceptors import WORLDS
-from .explore import explore
-from .faults import WITHOUT, taken_out
-from .walk import walk
+from ..libraries import install
+
+install()
+from .acceptors import WORLDS  # noqa: E402  (the libraries are found only now)
+from .explore import explore  # noqa: E402
+from .faults import WITHOUT, taken_out  # noqa: E402
+from .walk import walk  # noqa: E402
 
 
 def main() -> int:
