--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -169,6 +169,14 @@
     assert all(land.offices[ip].settled(land.now) for ip in near)
 
 
+def just_started(seed):
+    """A land, and one registrar of it that has sent its first beats and heard nobody."""
+    land = Strait(seed)
+    one = land.offices[C]
+    one.tick(land.now)
+    return land, one
+
+
 def peer_beat(one, ip, decided, undecided=None, echo=None):
     """A beat of a peer that has heard our newest, or an older one."""
     one.hear(ip, PeerBeat(decided, None, {}, {}, {one.me: echo or one.contact.number}, None, one.board.known_digest, True,
@@ -187,18 +195,14 @@
 @pytest.mark.parametrize("decided, undecided, expected", FIRST_WORDS)
 def test_a_registrar_just_started_is_settled_only_by_a_whole_word(decided, undecided, expected):
     """A peer's beat out of turn tells nothing of what is decided; it was read as "nothing is"."""
-    land = Strait(15)
-    one = land.offices[C]
-    one.tick(land.now)
+    land, one = just_started(15)
     peer_beat(one, A, decided, undecided)
     assert one.heard_majority(land.now) and one.settled(land.now) is expected
 
 
 def test_the_word_of_before_a_cut_does_not_make_a_healed_one_settled():
     """What A told before 20 s of cut is old, though A is in contact again."""
-    land = Strait(16)
-    one = land.offices[C]
-    one.tick(land.now)
+    land, one = just_started(16)
     peer_beat(one, A, {})
     assert one.settled(land.now)
     one.tick(20.0)
@@ -209,9 +213,7 @@
 
 
 def test_a_whole_word_that_piled_up_is_dated_by_the_beat_that_it_answers():
-    land = Strait(16)
-    one = land.offices[C]
-    one.tick(land.now)
+    land, one = just_started(16)
     old = one.contact.number
     one.tick(20.0)
     peer_beat(one, A, {}, echo=old)
@@ -235,9 +237,7 @@
 
 
 def test_a_peer_that_says_it_hears_us_no_more_is_believed_at_once():
-    land = Strait(16)
-    one = land.offices[C]
-    one.tick(land.now)
+    land, one = just_started(16)
     peer_beat(one, A, {})
     assert one.heard_majority(land.now)
     one.hear(A, PeerBeat(None, None, {}, {}, {}, None, one.board.known_digest, True), land.now)
@@ -245,8 +245,6 @@
 
 
 def test_a_peer_that_has_gone_silent_is_no_contact_though_its_last_answer_was_to_our_newest():
-    land = Strait(16)
-    one = land.offices[C]
-    one.tick(land.now)
+    land, one = just_started(16)
     peer_beat(one, A, {})
     assert one.heard_majority(land.now + ALIVE_S - 0.01) and not one.heard_majority(land.now + ALIVE_S)
