--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,110 +1,137 @@
-"""syncAcks 1: a replica that leaves by DELETE first still holds commits alone when the primary crashes."""
+"""A pooler that is stopped in order closes sessions before their answers are out."""
 
 import asyncio
 import os
 import random
+import signal
+import socket
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import standins as s  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1")  # 0: nothing; crash, leave: one of the two alone
-WRITERS, LEAVE_AT, CRASH_AFTER, WATCH_S = 12, 4.0, 2.0, 12.0
-
-
-async def writer(number, fleet, record, acknowledged, over):
-    """Single writes, one after the other; a try that fails is not repeated, the next one is new."""
-    client, count = None, 0
-    while not over.is_set():
-        if client is None:
-            client = s.Client(fleet, number % 3 + 1, "tiles")
-            if not await client.open():
-                client = None
-                await asyncio.sleep(0.2)
-                continue
-        count += 1
-        write = f"t{number} w{number}-{count}"
-        statement, lines = await client.ask(f"PUT {write}")
-        answer = next((line for line in lines if line and not line.startswith("ROW")), "(no answer)")
-        record.note(f"client {number}: sent {statement} PUT {write}, answered {answer}")
-        if answer.startswith("DONE ") and lines[-1]:
-            acknowledged[write] = record.now()
-        elif lines[-1] is None or "READY I" not in lines[-1]:
-            client.close()
-            client = None
-        await asyncio.sleep(random.uniform(0.005, 0.02) if answer.startswith("DONE") else 0.2)
+TROUBLE = os.environ.get("TROUBLE", "1")
+ROWS, ROW_BYTES = 16, 32 << 10  # 512 KiB an answer, in rows of 32 KiB
+CLIENTS, TMO_S, WORK_S = 30, 2.0, 0.2
+RATE = 2_500_000  # bytes a second that a client takes from its link: 20 Mbit/s
+SEGMENT, WINDOW = 1460, 65536  # as on an Ethernet; on loopback the kernel would take megabytes at once
+
+
+class Large(s.Service):
+    """Its servers answer reads with many rows."""
+
+    def work_s(self, verb, rest):
+        return WORK_S if verb == "FETCH" else 0.0045
+
+    def rows(self, server, thing, state):
+        return [f"ROW {number:06d}{'x' * (ROW_BYTES - 6)}" for number in range(ROWS)]
+
+
+class Session:
+    """A client's session: opened long before, it asks one read."""
+
+    def __init__(self, fleet):
+        self.address = (fleet.ip("pooler", 1), fleet.fe)
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.sock, self.address)
+        await loop.sock_sendall(self.sock, b"LOGIN tiles someone\r\n")
+        return (await loop.sock_recv(self.sock, 1000)).startswith(b"READY")
+
+    async def read(self, text, record):
+        """One read: its id, bytes taken, how it ended (whole, cut, silent), seconds."""
+        loop, began, taken, tail = asyncio.get_running_loop(), record.now(), 0, b""
+        statement, first_at = f"{random.getrandbits(64):016x}", None
+        try:
+            await loop.sock_sendall(self.sock, f"QUERY {statement} {text}\r\n".encode())
+            async with asyncio.timeout(8.0):
+                while data := await loop.sock_recv(self.sock, 16384):
+                    first_at = first_at or record.now()
+                    taken += len(data)
+                    tail = (tail + data)[-200:]
+                    if tail.endswith(b"\r\n") and tail[:-2].rpartition(b"\r\n")[2].startswith(b"READY "):
+                        return statement, taken, "whole", record.now() - began
+                    await asyncio.sleep(max(0.0, taken / RATE - (record.now() - first_at)))
+        except TimeoutError:
+            return statement, taken, "silent", record.now() - began
+        except OSError:
+            pass
+        return statement, taken, "cut", record.now() - began
 
 
 async def case(record, make_fleet):
-    # two zones of one region and one of another, as the grown deployments have them
-    zones = {"cairo-abb": "cairo", "cairo-hlw": "cairo", "aswan-sd": "aswan"}
+    zones = {"cairo-abb": "cairo", "alex-nzh": "alex", "aswan-sd": "aswan"}
     fleet = make_fleet(zones)
-    service = s.Service(fleet, record, sync_acks=1)
+    service = Large(fleet, record)
     service.servers = [
-        s.Server(service, 1, "cairo-abb", "primary"),
-        s.Server(service, 2, "cairo-hlw", "replica"),
-        s.Server(service, 3, "aswan-sd", "replica"),
+        s.Server(service, number, zone, "primary" if number == 1 else "replica", 9)
+        for number, zone in enumerate(zones, 1)
     ]
-    primary, leaver, other = service.servers
-    platform = await service.platform()
+    await service.platform()
     fleet.start_all()
     for server in service.servers:
         await server.start()
     configuration = {
         "ver": 1,
-        "routes": [s.route("r1", "tiles", service.name)],
-        "svcs": [s.service_entry(service.name, sync_acks=1)],
+        "routes": [s.route("r1", "tiles", service.name, tmo=TMO_S * 1000, goal=800)],
+        "svcs": [s.service_entry(service.name)],
         "limits": s.LIMITS,
     }
     assert await s.put_configuration(fleet, record, configuration), "no configuration"
     assert await s.until_ready(fleet, record), "not ready"
-    acknowledged, over = {}, asyncio.Event()
-    tasks = [asyncio.create_task(writer(n, fleet, record, acknowledged, over)) for n in range(WRITERS)]
-    await asyncio.sleep(LEAVE_AT)
-    assert len(acknowledged) > 100, "writes are not served"
-    end_at = None
-    if TROUBLE in ("1", "leave"):
-        # "Some never say draining: they send DELETE first, serve on as long, and end."
-        leaver.beats = False
-        deleted_at = await leaver.say_delete()
-        assert deleted_at is not None, "DELETE was not acknowledged"
-        record.note(f"server {leaver.name}: DELETE acknowledged, it serves on", True)
-        end_at = deleted_at + fleet.bounds["drainMs"] / 1000 + 1.0
-    await asyncio.sleep(CRASH_AFTER)
-    crashed_at = None
-    if TROUBLE in ("1", "crash"):
-        crashed_at = record.now()
-        record.note(f"server {primary.name}: crashes; logs: " + ", ".join(f"{one.name} {one.position}" for one in service.servers), True)
-        primary.crash()
-    stop = record.now() + WATCH_S
-    while record.now() < stop:
-        if end_at is not None and record.now() >= end_at and leaver.running:
-            record.note(f"server {leaver.name}: its planned end, log to {leaver.position}", True)
-            leaver.crash()
-            if leaver.role == "replica":  # "Its log goes to a new backend at its address."
-                heir = s.Server(service, 2, leaver.zone, "replica")
-                heir.log, heir.term = list(leaver.log), leaver.term
-                service.servers.append(heir)
-                await heir.start()
-        await asyncio.sleep(0.1)
-    over.set()
-    await asyncio.gather(*tasks)
-    platform.close()
-    lost = []
-    for moment, target, log in service.promotions:
-        held = {write for _term, _number, writes in log for write in writes}
-        missing = [write for write, at in acknowledged.items() if at < (crashed_at or moment) and write not in held]
-        record.note(f"promoted: {target.name} with {len(log)} commits, lacks {len(missing)} of those acknowledged", True)
-        for write in missing:
-            record.note(f"LOST: PUT {write}, acknowledged at {acknowledged[write]:.3f}")
-        lost += missing
-    record.note(f"acknowledged {len(acknowledged)}, promotions {len(service.promotions)}, lost {len(lost)}", True)
-    if lost:
-        return 1
-    if TROUBLE == "0":
-        return 0 if not service.promotions else 2
-    return 0
+    await asyncio.sleep(2.0)
+    sessions = [Session(fleet) for _ in range(CLIENTS)]
+    opened = await asyncio.gather(*(one.open() for one in sessions))
+    assert all(opened), "not all sessions were opened"
+    await asyncio.sleep(fleet.bounds["contactMs"] / 1000 + 0.5)
+    stopped_at, grace = record.now(), fleet.bounds["graceS"]
+    found = []
+
+    async def client(number):
+        await asyncio.sleep(1.05 + number * 0.04)  # one after the other, from 1.05 s to 2.21 s after the SIGTERM
+        asked_at = record.now()
+        statement, taken, how, took = await sessions[number].read(f"FETCH t{number}", record)
+        record.note(f"client {number}: sent {statement} FETCH t{number} at {asked_at:.3f}, {taken} bytes, {how} after {took:.3f} s")
+        found.append((number, statement, asked_at, taken, how, took))
+        sessions[number].sock.close()
+
+    if TROUBLE != "0":
+        record.note("platform: SIGTERM to pooler-1", True)
+        fleet.processes["pooler-1"].send_signal(signal.SIGTERM)
+    await asyncio.gather(*(client(number) for number in range(CLIENTS)))
+    if TROUBLE != "0":
+        while fleet.processes["pooler-1"].poll() is None and record.now() < stopped_at + grace:
+            await asyncio.sleep(0.05)
+        record.note(f"pooler-1 has ended by itself: {fleet.processes['pooler-1'].poll() is not None}", True)
+    whole = sum(one[4] == "whole" for one in found)
+    record.note(f"whole answers: {whole} of {len(found)}", True)
+    broken = 0
+    for number, statement, asked_at, taken, how, took in found:
+        if how == "whole":
+            continue
+        handed = service.answered.get(statement)  # when the server had handed over its whole answer
+        ended_at = asked_at + took
+        counts = (
+            handed is not None
+            and handed < stopped_at + grace / 2  # else the server was at work in the second half
+            and took < TMO_S
+            and ended_at <= stopped_at + grace + 1.0
+        )
+        text = f"{handed - stopped_at:+.3f}" if handed else "never"
+        record.note(
+            f"{how.upper()}: client {number}, sent {asked_at - stopped_at:+.3f} s from the SIGTERM, the server's answer "
+            f"was whole at {text}, the connection ended at {ended_at - stopped_at:+.3f} after {taken} bytes", True
+        )  # fmt: skip
+        broken += counts
+    if whole < 3:
+        return 2
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -257,6 +257,8 @@
                 lines = [*answer, f"READY {letter} {self.position}"]
                 writer.write("".join(one + "\r\n" for one in lines).encode("latin-1"))
                 await writer.drain()
+                if word == "QUERY" and statement != "-":
+                    self.service.answered[statement] = self.service.record.now()
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
@@ -399,6 +401,7 @@
     def __init__(self, fleet, record, name="svc1", sync_acks=0, regions=None):
         self.fleet, self.record, self.name, self.sync_acks = fleet, record, name, sync_acks
         self.login_s, self.servers, self.fence = 0.012, [], 0
+        self.answered = {}  # by statement: when its answer was handed over
         self.promotions = []  # (moment, server, the log with which it leads)
         self.zone_ms, self.region_ms = 0.9, 20.0
 
