--- a/review/standins.py
+++ b/review/standins.py
@@ -50,7 +50,7 @@
         try:
             for port in range(low, low + count):
                 with socket.socket() as probe:
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind(("127.0.0.1", port))
         except OSError:
             continue
         return low
