Fix: an answer read together with a failed one counted for the next statement on its connection

Cause: all answers of one read are taken off the connection's list of expected ones before the first is acted on. If that one freed the connection, it was given away with the rest still to come, and each of those counted as an answer to the next owner's preparation. Change: a connection with answers that are still to be acted on is not free.

--- a/sumacloom/pooler/completion.py
+++ b/sumacloom/pooler/completion.py
@@ -17,6 +17,7 @@
     if (
         connection.owner is not None
         or connection.expected
+        or connection.unhandled
         or connection.lost
         or connection.key not in core.connections
     ):
--- a/sumacloom/pooler/server_connection.py
+++ b/sumacloom/pooler/server_connection.py
@@ -72,6 +72,7 @@
         "stamp",
         "state",
         "unclear",
+        "unhandled",
         "values",
     )
 
@@ -83,6 +84,7 @@
         self.state, self.position = "I", None
         self.values, self.names, self.dirty = {}, {}, False
         self.owner = None
+        self.unhandled = 0  # results that were read with others, and are still to be acted on
         self.open = self.lost = self.login_sent = False
         self.stamp = (
             ""  # of the last success: one that comes again is no answer to what was asked since
--- a/sumacloom/pooler/server_results.py
+++ b/sumacloom/pooler/server_results.py
@@ -43,7 +43,10 @@
     connection = core.connections.get(key)
     if connection is None:
         return
-    for result in connection.feed(data):
+    results = connection.feed(data)
+    connection.unhandled = len(results)
+    for result in results:
+        connection.unhandled -= 1
         if connection.key in core.connections:
             RESULTS[result.tag](core, connection, result, now)
     if connection.lost and connection.key in core.connections:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -204,6 +204,27 @@
     )
 
 
+def test_an_answer_read_together_with_a_failed_one_does_not_count_for_the_next_statement():
+    """The connection was given to the next while an answer to the last was still to be acted on: that counted as
+    one of the next, whose statement then went out before its own BEGIN was answered.
+    """
+    stage = Stage()
+    lead, *_others = stage.warm()
+    stage.core.pools.connection_limit = lambda _backend, _now: 1
+    stage.client(1, "books")
+    stage.say(1, "QUERY 1 SET a 1", "QUERY 2 SET b 2", "QUERY 3 PUT c d")
+    stage.client(2, "books")
+    stage.say(2, "QUERY 4 SET x 9", "QUERY 5 BEGIN", "QUERY 6 FETCH a")
+    assert stage.take(lead.key) == ["QUERY - SET a 1", "QUERY - SET b 2"]
+    stage.core.session_closed(1, stage.now)
+    stage.answer(lead, "ERR NOSUCH x", "READY I 1.10", "DONE -", "READY I 1.10")
+    assert stage.take(lead.key) == ["QUERY - RESET", "QUERY - SET x 9", "QUERY - BEGIN"]
+    stage.answer(lead, "DONE -", "READY I 1.10", "DONE -", "READY I 1.10")
+    assert stage.take(lead.key) == []  # BEGIN is still to be answered
+    stage.answer(lead, "DONE -", "READY T 1.10")
+    assert stage.take(lead.key) == ["QUERY 6 FETCH a"]
+
+
 def test_a_client_that_resets_after_its_commit_was_sent_frees_the_connection_once_it_is_answered():
     stage = Stage()
     lead, *_others = stage.warm()
