Fix: a long row of lines that are refused at once exhausted the stack of a pooler

What callers saw: nothing any more at that pooler's session, its task ended with a RecursionError. Cause: each answer handled the next line from within itself. Change: a session's lines are handled by one loop; a call from within it leaves them to the first. The test of 3,000 lines fails before with RecursionError and passes now.

--- a/sumacloom/pooler/core.py
+++ b/sumacloom/pooler/core.py
@@ -135,10 +135,13 @@
         self.advance(session, now)
 
     def advance(self, session: Session, now: float) -> None:
-        """Handles the lines that wait, one statement at a time.
+        """Handles the lines that wait, one statement at a time; a call from within one leaves them to the first.
 
         >>> core = PoolerCore(Settings("n", "r", "10.0.0.1", "z")); core.advance(Session(1, 0.0), 0.0)
         """
+        if session.advancing:
+            return
+        session.advancing = True
         while session.waiting and session.pending is None and not session.closed:
             line = session.waiting.popleft()
             if line is None:
@@ -148,6 +151,7 @@
                 self.take_login(session, line, now)
             else:
                 self.take_line(session, line, now)
+        session.advancing = False
 
     def take_login(self, session: Session, line: str, now: float) -> None:
         """The first line of a session.
--- a/sumacloom/pooler/session.py
+++ b/sumacloom/pooler/session.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "address",
+        "advancing",
         "closed",
         "database",
         "ending",
@@ -87,6 +88,7 @@
         self.values, self.names = {}, {}
         self.transaction = self.pending = self.last_commit = None
         self.waiting = deque()
+        self.advancing = False  # whether its lines are being handled
         self.opened_at = now
         self.closed = self.ending = False  # ending: the client sends no more, but may read
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -159,3 +159,13 @@
     for _tick in range(4):
         stage.tick(0.6)
     assert len(lead.connections) == 4
+
+
+def test_many_lines_refused_at_once_are_all_answered():
+    """One answer led to the next within the last: a long row of them exhausted the stack."""
+    stage = Stage({**CONFIGURATION, "limits": {"txIdleMs": 3000, "guarded": True}})
+    stage.warm()
+    stage.client(1, "books")
+    stage.core.unsure = True
+    stage.say(1, *(f"QUERY {number} PUT a b" for number in range(3000)))
+    assert len(stage.take(1)) == 2 * 3000
