Fix: who shut the sending half was refused at once while a statement waited

What callers saw: BUSY at once, though they read on and had their whole time-out left. Change: such a caller waits like any other; one whose connection is gone leaves the queue at once, as before.

--- a/sumacloom/pooler/completion.py
+++ b/sumacloom/pooler/completion.py
@@ -105,16 +105,11 @@
 
 
 def session_ended(core, key, now: float) -> None:
-    """The client sends no more, but may still read: what it asked is answered, then the session ends.
-
-    What waits for a connection is refused at once: most that end here have left.
-    """
+    """The client sends no more, but may still read: what it asked is answered as for any other, then the session ends."""
     session = core.sessions.get(key)
     if session is None:
         return
     session.ending = True
-    if session.pending and session.pending.stage == StatementStage.WAITING:
-        refuse(core, session.pending, now)
     if session.pending is None:
         core.shut_session(session, now)
 
