Fix: a primary that was back was dialled too late for those who waited

What callers saw: BUSY although the primary was back within their time-out. Cause: the pause between dials grew to 1.2 s, which is longer than many time-outs, and word of a restart did not end it. Change: the pause grows up to a quarter of the shortest time-out of the service's routes (0.15 s at the least, 1.2 s at most); a record of a new incarnation ends it at once.

--- a/sumacloom/pooler/connection_limits.py
+++ b/sumacloom/pooler/connection_limits.py
@@ -1,10 +1,11 @@
 """How many connections a pooler may hold to a backend: its fair share of what the backend takes."""
 
-from sumacloom.configuration.model import Service
+from sumacloom.configuration.model import Configuration, Service
 from sumacloom.pooler.pending_statement import PendingStatement
 from sumacloom.pooler.service_pool import Backend
 
-BACKOFF_S = 0.15
+BACKOFF_S, MAX_BACKOFF_S = 0.15, 1.2  # between dials to a backend that can't be reached
+DIALS_IN_TIMEOUT = 4  # so often a backend that is back may be found while a statement waits for it
 SHARE_OF_MAXCONN = 0.7
 DEFAULT_MAXCONN = 32
 MAX_CONNECTIONS = 32
@@ -22,16 +23,33 @@
 
     Attributes:
         services: the configuration's services, by name.
+        shortest_timeout_s: by service, the shortest time-out of the routes to it.
         members: how many poolers share the backends.
         members_counted: whether the poolers have had the time to be counted.
     """
 
     def __init__(self) -> None:
         self.services: dict[str, Service] = {}
+        self.shortest_timeout_s: dict[str, float] = {}
         self.members = UNKNOWN_MEMBERS
         self.members_counted = True
         self.members_seen: list[tuple[float, int]] = []
 
+    def apply_services(self, configuration: Configuration) -> None:
+        """Takes what a configuration says of services, and the time-outs of the routes to them.
+
+        >>> from sumacloom.configuration.model import Route, Service
+        >>> limits = ConnectionLimits()
+        >>> limits.apply_services(Configuration(1, [Route("r", "db", "svc", tmo_ms=800)], [Service("svc")]))
+        >>> limits.shortest_timeout_s
+        {'svc': 0.8}
+        """
+        self.services = {service.name: service for service in configuration.svcs}
+        self.shortest_timeout_s = {}
+        for route in configuration.routes:
+            shortest = self.shortest_timeout_s.get(route.svc, float("inf"))
+            self.shortest_timeout_s[route.svc] = min(shortest, route.tmo_ms / 1000)
+
     def count_members(self, members: int, now: float) -> None:
         """Takes the member count; the most of the last seconds counts, since connections outlive their ends.
 
@@ -114,3 +132,14 @@
             and now - backend.statement_mode_at < PACKED_S
         )
         return (lacks_priority or packs) and self.is_last_connection(backend, now)
+
+    def max_backoff_s(self, backend: Backend) -> float:
+        """The longest pause between two dials: who waits for the backend finds it when it is back.
+
+        >>> limits = ConnectionLimits(); backend = Backend("i-1", "s")
+        >>> limits.max_backoff_s(backend); limits.shortest_timeout_s["s"] = 1.0; limits.max_backoff_s(backend)
+        1.2
+        0.25
+        """
+        timeout_s = self.shortest_timeout_s.get(backend.service, MAX_BACKOFF_S * DIALS_IN_TIMEOUT)
+        return min(MAX_BACKOFF_S, max(BACKOFF_S, timeout_s / DIALS_IN_TIMEOUT))
--- a/sumacloom/pooler/core.py
+++ b/sumacloom/pooler/core.py
@@ -58,7 +58,7 @@
             return
         self.configuration = configuration
         self.rules = compile_rules(configuration)
-        self.pools.services = {service.name: service for service in configuration.svcs}
+        self.pools.apply_services(configuration)
         logger.info("the configuration %d is in force", configuration.ver)
         completion.reroute_queued(self, now)
 
--- a/sumacloom/pooler/server_pools.py
+++ b/sumacloom/pooler/server_pools.py
@@ -11,8 +11,7 @@
 from sumacloom.types import NEVER, Position
 
 logger = logging.getLogger(__name__)
-MAX_BACKOFF_S = 1.2
-REFUSED_S = 0.25
+READ_ONLY_RETRY_S = 0.25  # between two sends to a backend that said RO and claims to be the primary
 SHARE_OF_BOUND = 0.6
 
 
@@ -67,6 +66,8 @@
             record.zone,
             self.settings.zones.get(record.zone, record.zone),
         )
+        if record.incarnation > backend.order[0]:
+            backend.backoff = backend.backoff_until = 0.0  # it was started anew
         backend.slots, backend.order = record.slots, record.order
         backend.role = record.role
         if record.role == "primary" and was != "primary":
@@ -167,7 +168,7 @@
                 for backend in service_pool.backends.values()
                 if backend.primary_seen_at > NEVER
                 and backend.role == "primary"
-                and now >= backend.read_only_at + REFUSED_S
+                and now >= backend.read_only_at + READ_ONLY_RETRY_S
                 and (backend.idle or now >= backend.backoff_until)
                 and not self.closed_to_new(backend, now)
                 and self.at_home(backend, rule)
@@ -339,7 +340,7 @@
         """
         if now < backend.backoff_until:
             return
-        backend.backoff = min(MAX_BACKOFF_S, backend.backoff * 2 or BACKOFF_S)
+        backend.backoff = min(self.max_backoff_s(backend), backend.backoff * 2 or BACKOFF_S)
         backend.backoff_until = now + backend.backoff
         if backend.unreachable_since is None:
             backend.unreachable_since = now
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -56,6 +56,8 @@
     "limits": {"txIdleMs": 3000},
 }
 
+BOOKS = CONFIGURATION["routes"][0]
+
 
 class Stage:
     """A pooler's floor at zone `a`; backends p (leads, zone a), q (zone a) and r (zone b)."""
@@ -71,16 +73,19 @@
         self.sent: dict = {}
         self.shut, self.dialled = [], []
         self.seq = 0
-        self.core.apply_configuration(
-            decode_configuration(
-                msgspec.json.encode({**(configuration or CONFIGURATION), **changes})
-            ),
-            self.now,
-        )
+        self.raw_configuration = {**(configuration or CONFIGURATION), **changes}
+        self.core.apply_configuration(self.configuration(1), self.now)
         self.records("p", role="primary")
         self.records("q")
         self.records("r", zone="b")
 
+    def configuration(self, version, **first_route):
+        """The stage's configuration under another number, with other fields of its first route."""
+        first, *others = self.raw_configuration["routes"]
+        routes = [{**first, **first_route}, *others]
+        raw = {**self.raw_configuration, "ver": version, "routes": routes}
+        return decode_configuration(msgspec.json.encode(raw))
+
     def records(self, name, **fields):
         self.seq += 1
         fields = {"zone": "a", "slots": 4, "seq": self.seq, **fields}
@@ -174,3 +179,20 @@
         """Answers the BEGIN and ABORT that seek an anchor."""
         assert self.take(connection.key) == ["QUERY - BEGIN", "QUERY - ABORT"]
         self.answer(connection, "DONE -", f"READY T {position}", "DONE -", f"READY I {position}")
+
+
+def stage_with(**route):
+    """A stage whose database `books` has a route with these fields."""
+    return Stage({**CONFIGURATION, "routes": [{**BOOKS, **route}, *CONFIGURATION["routes"][1:]]})
+
+
+def without_primary(stage):
+    stage.core.pools.backends["p"].role = "replica"
+
+
+def wait_for_answer(stage, key, step=0.01):
+    """Ticks until a client is answered; gives how long that took, and the first line."""
+    started = stage.now
+    while not stage.sent.get(key):
+        stage.tick(step)
+    return stage.now - started, stage.take(key)[0]
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from .stage import CONFIGURATION, Stage
+from .stage import CONFIGURATION, Stage, stage_with
 
 HOLDS = [
     # (seconds without a primary before the statement, word of a coming lead, held at least, at most; aim 400 ms, time-out 1 s)
@@ -169,3 +169,25 @@
     stage.core.unsure = True
     stage.say(1, *(f"QUERY {number} PUT a b" for number in range(3000)))
     assert len(stage.take(1)) == 2 * 3000
+
+
+@pytest.mark.parametrize("outage_s", [0.4, 0.8])
+def test_a_primary_that_is_started_anew_is_dialled_while_statements_wait_for_it(outage_s):
+    """Its dials had failed, and the pause between them had grown."""
+    stage = stage_with(tmoMs=3000)
+    lead, *_others = stage.warm()
+    stage.client(1, "books")
+    stage.lose(lead)
+    stage.say(1, "QUERY 1 PUT a b")
+    for _tick in range(round(outage_s / 0.05)):
+        for connection in stage.connections("p"):
+            stage.lose(connection)  # refused
+        stage.tick()
+    assert stage.take(1) == []
+    for connection in stage.connections("p"):
+        stage.lose(connection)
+    stage.records("p", role="primary", incarnation=1)
+    (connection,) = stage.connections("p")
+    stage.take(connection.key)
+    stage.answer(connection, "READY I 1.10")
+    assert stage.take(connection.key) == ["QUERY 1 PUT a b"]
