--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -187,9 +187,13 @@
                 put,
                 f"QUERY {self.fleet.next_id()} COMMIT",
             ]
-            self.lines = [put] if self.number % 2 else complete
+            self.lines = [put] if self.is_single() else complete
             self.say(now, self.lines[0])
 
+    def is_single(self):
+        """Whether its next item is a single write, not a transaction."""
+        return self.number % 2
+
     def commits(self):
         return self.lines and (self.lines[0].endswith("COMMIT") or len(self.lines) == 1)
 
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -159,13 +159,18 @@
 
 
 # ---------------------------------------------------------------- a whole fleet
+class Registrar(Client):
+    """Every other item is a transaction: whatever pooler serves it, half of what that sees are."""
+
+    def is_single(self):
+        return self.count % 2
+
+
 class Searcher(Client):
-    """Looks things up, now and then in a transaction; writes nothing."""
+    """Looks things up by single statements; writes nothing."""
 
-    def tick(self, now):
-        self.number, number = 1, self.number  # single statements
-        super().tick(now)
-        self.number = number
+    def is_single(self):
+        return True
 
     def say(self, now, line):
         super().say(now, line.replace(" PUT thing ", " FETCH "))
@@ -176,6 +181,7 @@
 
     def __init__(self, seed, wrong=False):
         super().__init__(seed, poolers=4, clients=8, databases=("books",))
+        self.clients = [Registrar(self, one.number, one.database) for one in self.clients]
         self.searchers = [Searcher(self, number, "search") for number in range(101, 109)]
         self.clients += self.searchers
         self.split_transactions = []
