--- a/sumacloom/pooler/completion.py
+++ b/sumacloom/pooler/completion.py
@@ -87,6 +87,7 @@
 
 def refuse(core, pending, now: float, cause: str = NOT_IN_TIME) -> None:
     """Gives up a statement that has not run: a promise, and the cause."""
+    core.refusals[cause] += 1
     if pending.transaction:
         fail_transaction(core, pending, "BUSY", now)
     else:
--- a/sumacloom/pooler/core.py
+++ b/sumacloom/pooler/core.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections import Counter
 
 from sumacloom.configuration.model import Configuration
 from sumacloom.line_protocol import encode
@@ -38,6 +39,7 @@
         self.sessions, self.connections = {}, {}
         self.scheduler = Scheduler(self)
         self.active = set()
+        self.refusals: Counter[str] = Counter()  # of statements that had not run, by cause
         self.rules, self.configuration = None, None
         self.leaving, self.leaving_at = SHUTDOWN.start, 0.0
         self.effects: list[Effect] = []
--- a/sumacloom/pooler/metrics.py
+++ b/sumacloom/pooler/metrics.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from sumacloom.metrics import Metric, MetricKind
+from sumacloom.pooler.completion import CUT_OFF, NOT_IN_TIME
 
 if TYPE_CHECKING:
     from sumacloom.pooler.controller_session import ControllerSession
@@ -86,6 +87,18 @@
             "Statements that wait for a connection to a backend.",
             core.scheduler.waiting_count(),
         ),
+        Metric(
+            "pooler_statements_refused_not_in_time",
+            "Statements refused since no backend could take them in their time.",
+            core.refusals[NOT_IN_TIME],
+            MetricKind.COUNTER,
+        ),
+        Metric(
+            "pooler_statements_refused_cut_off",
+            "Statements refused since neither a primary nor a controller in a quorum is reached.",
+            core.refusals[CUT_OFF],
+            MetricKind.COUNTER,
+        ),
         Metric("pooler_server_connections", "Connections to backends.", len(core.connections)),
         Metric(
             "pooler_missing_database_answers",
