Fix: a changed time-out could send a statement twice that it had let start

What callers would have seen: a write run twice (TWICE), or kept after a promise. Cause: all that waited was listed first, then moved one by one; putting one back let others start, and those were then moved, and queued again, though they ran. Change: all are taken out first, then put back; what no longer waits stays as it is.

--- a/sumacloom/pooler/scheduler.py
+++ b/sumacloom/pooler/scheduler.py
@@ -97,10 +97,17 @@
 
     def reroute(self, now: float) -> None:
         """Another configuration is in force: what waits goes by its rules and time-outs."""
-        for pending in [pending for queue in self.queues.values() for pending in queue]:
-            rule = self._core.rules.get(pending.session.database)
-            if pending.transaction is None and rule != pending.rule:
-                self.withdraw(pending)
+        moving = [
+            pending
+            for queue in self.queues.values()
+            for pending in queue
+            if pending.transaction is None
+            and self._core.rules.get(pending.session.database) != pending.rule
+        ]
+        for pending in moving:
+            self.withdraw(pending)  # all of them first: none may start while another is moved
+        for pending in moving:
+            if pending.stage == StatementStage.WAITING:
                 self.enqueue(pending, now)
 
     # ------------------------------------------------------------ starting
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -99,6 +99,31 @@
     assert stage.take(1)[0].startswith("ERR BUSY not run: ")
 
 
+def test_a_change_of_time_outs_sends_nothing_twice_that_it_lets_start():
+    """Moving the first to the new rule let both start; the second was then moved, and started again, though it ran."""
+    stage = stage_with(tmoMs=3000)
+    stage.warm()
+    stage.client(1, "books")
+    stage.client(2, "books")
+    backend = stage.core.pools.backends["p"]
+    second = stage.core.pools.new_connection(backend, stage.now)
+    stage.core.connections[second.key] = second
+    second.login("edge-1")
+    stage.answer(second, "READY I 1.10")
+    backend.send_backoff.refused(stage.now)
+    stage.say(1, "QUERY 1 PUT a b")
+    stage.say(2, "QUERY 2 PUT c d")
+    stage.sent.clear()
+    stage.now = backend.send_backoff.resumes_at
+    stage.core.apply_configuration(stage.configuration(2, tmoMs=1000), stage.now)
+    stage.act()
+    for _tick in range(4):
+        stage.tick()
+    sent = [line for lines in stage.sent.values() for line in lines]
+    assert sorted(sent) == ["QUERY 1 PUT a b", "QUERY 2 PUT c d"]
+    assert stage.core.scheduler.waiting_count() == 0
+
+
 def test_a_statement_that_comes_back_after_a_change_of_its_route_goes_by_the_new_one():
     stage = stage_with(tmoMs=3000)
     lead, *_others = stage.warm()
