Fix: reads waited up to half a second for a position asked on a connection that was lost

What callers saw: a stale_ok or self read that had to wait for a known position waited on although its question was lost with the connection; with a short time-out it was refused. Cause: the question counted as under way until ANCHOR_RETRY_S was over. Change: it ends with its connection. The test fails before.

--- a/sumacloom/pooler/connection_loss.py
+++ b/sumacloom/pooler/connection_loss.py
@@ -32,6 +32,8 @@
     elif backend and report and not was_idle:
         core.pools.record_failure(backend, now)
         core.failed_backends.append(connection.backend)
+    if any(tag == "anchor" for tag, _asked_at, _state in connection.expected):
+        core.pools.service_pool(connection.service).seeking = None  # to be asked elsewhere
     owner = connection.owner
     connection.owner = None
     if isinstance(owner, Transaction):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -85,6 +85,25 @@
     assert 0.15 <= longest <= timeout_ms / 4000 + 0.1 and backend.unreachable_since
 
 
+def test_a_position_asked_on_a_connection_that_was_lost_is_asked_again_at_once():
+    """Reads waited up to half a second for an answer that could not come any more."""
+    stage = Stage()
+    stage.warm()
+    stage.core.scheduler.dial(stage.core.pools.backends["p"], stage.now)
+    stage.act()
+    stage.answer(stage.connections("p")[1], "READY I 1.10")
+    stage.client(1, "search")
+    stage.say(1, "QUERY 5 FETCH a")
+    asked, other = sorted(
+        stage.connections("p"), key=lambda connection: -len(stage.sent.get(connection.key, []))
+    )
+    assert stage.take(asked.key)[-2:] == ["QUERY - BEGIN", "QUERY - ABORT"]
+    stage.take(other.key)
+    stage.lose(asked)
+    stage.tick(0.01)
+    stage.anchor(other)
+
+
 ANSWERS = ["ERR BUSY x", "ERR RO p", "ERR MAXCONN x", "ERR NOSUCH x", "ERR WRONGHOST x"]
 
 
