--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -266,7 +266,7 @@
 
 
 def test_one_way_deafness_is_no_majority():
-    """Found on registo-civil-control trouble-3: a controller that hears all but is heard by none kept its poolers."""
+    """A controller that hears all but is heard by none kept its poolers."""
     cluster = ControllerCluster(6)
     cluster.run(3.0)
     one = cluster.cores["10.0.0.2"]
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -272,7 +272,7 @@
 
 
 def test_a_fleet_that_starts_at_once_does_not_give_all_connections_to_whoever_comes_first():
-    """Found on a large day after all power was lost: 195 poolers thought they were 8; 4,171 connections were reset,
+    """After a loss of all power 195 poolers thought they were 8; 4,171 connections were reset,
     and who had none stayed without, since idle connections above the fair share were kept.
     """
     stage = Stage(svcs=[{"name": "svc", "maxconn": 800}])
